plan: stage the other model on each host before traffic, and let groups give way by need

Cause: after the first losses, survivors of a group waited for loads of 12 to 16 s, and groups that had been released were adopted again each tick. Ruled out: lack of instances (30 in 100 of the servers' time was used). Now all loads begin before traffic, hosts hold the weights of the model that is not in memory, and released epochs are remembered.

--- a/crates/mgw-fleet/src/plan.rs
+++ b/crates/mgw-fleet/src/plan.rs
@@ -6,6 +6,7 @@
 
 mod form;
 mod intent;
+mod stage;
 mod watch;
 
 use std::time::Duration;
@@ -108,11 +109,41 @@
     next: u64,
     intents: Vec<Intent>,
     watch: Watch,
+    /// Epochs of groups that were given up, sorted. Their members may report them for a while.
+    released: Vec<u64>,
     /// When loads from the weight store were ordered.
     loads: Vec<Instant>,
+    staging: Map<SmolStr, Staging>,
+    /// Epochs of groups that are to be closed for the sake of another model.
+    closing: Vec<u64>,
+    /// When a group last gave way.
+    gave_way: Option<Instant>,
     notes: Vec<Note>,
 }
 
+/// A model that is on its way to a host.
+#[derive(Clone, Debug)]
+struct Staging {
+    model: SmolStr,
+    since: Instant,
+}
+
+/// What the planner needs to know beside the roster.
+#[derive(Clone, Copy, Debug)]
+pub struct View<'a> {
+    /// The servers.
+    pub roster: &'a Roster,
+    /// The configuration.
+    pub config: &'a Config,
+    /// The demand for the models.
+    pub demand: &'a Demand,
+    /// Time until requests are expected, while the system starts for the first time. Until then
+    /// loads are fast and unlimited.
+    pub quiet: Option<Duration>,
+    /// The time.
+    pub now: Instant,
+}
+
 impl Planner {
     /// A planner of `term` that knows nothing.
     pub fn new(term: u64) -> Self {
@@ -121,7 +152,11 @@
             next: 1,
             intents: Vec::new(),
             watch: Watch::default(),
+            released: Vec::new(),
             loads: Vec::new(),
+            staging: Map::default(),
+            closing: Vec::new(),
+            gave_way: None,
             notes: Vec::new(),
         }
     }
@@ -157,17 +192,12 @@
     }
 
     /// Compares intentions with reports and returns what to do.
-    pub fn tick(
-        &mut self,
-        roster: &Roster,
-        config: &Config,
-        demand: &Demand,
-        now: Instant,
-    ) -> Vec<Action> {
-        let mut actions = self.watch.tick(roster, now);
-        self.adopt(roster, config, now);
-        self.follow(roster, config, now, &mut actions);
-        self.fill(roster, config, demand, now, &mut actions);
+    pub fn tick(&mut self, view: &View<'_>) -> Vec<Action> {
+        let mut actions = self.watch.tick(view.roster, view.now);
+        self.adopt(view);
+        self.follow(view, &mut actions);
+        self.fill(view, &mut actions);
+        self.stage(view, &mut actions);
         actions
     }
 
--- a/crates/mgw-fleet/src/plan/form.rs
+++ b/crates/mgw-fleet/src/plan/form.rs
@@ -1,22 +1,32 @@
-//! New groups on free instances.
+//! New groups on free instances, and groups that give way to others.
 
 use std::time::Duration;
 
 use mgw_base::sorted::Map;
-use mgw_base::time::Instant;
 use smol_str::{SmolStr, format_smolstr};
 
-use crate::config::{Config, Engine, Model};
+use crate::config::{Engine, Model};
 use crate::plan::intent::Member;
-use crate::plan::{Action, Demand, Intent, Phase, Planner, command};
-use crate::roster::{self, Roster, Server, Stage};
+use crate::plan::{Action, Demand, Intent, Phase, Planner, View, command};
+use crate::roster::{self, Server, Stage};
 
 /// Time over which starts of loads are counted.
 const LOAD_WINDOW: Duration = Duration::from_secs(1);
 
+/// Time before the first requests at which all remaining loads begin: those that have begun by then
+/// finish as fast as the others.
+const LAST_LOADS: Duration = Duration::from_millis(1_300);
+
+/// A group gives way to one of another model only if the other model's supply, in relation to the
+/// need, is below this part of its own.
+const GIVE_WAY: f64 = 0.75;
+
+/// Least time between two groups that give way, so that the effect of the first is seen.
+const GIVE_WAY_PAUSE: Duration = Duration::from_secs(2);
+
 /// What an instance needs before it can be a member.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum Effort {
+pub(super) enum Effort {
     /// The model is in memory.
     None,
     /// The weights are on the host.
@@ -25,7 +35,7 @@
     Load,
 }
 
-fn effort(server: &Server, model: &Model) -> Effort {
+pub(super) fn effort(server: &Server, model: &Model) -> Effort {
     let Some(engine) = &server.record.engine else { return Effort::Load };
     match engine.model.as_ref() {
         Some(held) if *held == model.name => Effort::None,
@@ -44,27 +54,24 @@
     rest: usize,
 }
 
+/// Free instances by domain, in the order of their ids.
+pub(super) type Free<'a> = Map<SmolStr, Vec<&'a Server>>;
+
 impl Planner {
     /// Forms groups while free instances and the weight store's limits allow.
-    pub(super) fn fill(
-        &mut self,
-        roster: &Roster,
-        config: &Config,
-        demand: &Demand,
-        now: Instant,
-        actions: &mut Vec<Action>,
-    ) {
-        self.loads.retain(|at| now.since(*at) < LOAD_WINDOW);
-        for (service, settings) in config.services.iter() {
+    pub(super) fn fill(&mut self, view: &View<'_>, actions: &mut Vec<Action>) {
+        self.loads.retain(|at| view.now.since(*at) < LOAD_WINDOW);
+        for (service, settings) in view.config.services.iter() {
             let Some(engine) = &settings.engine else { continue };
-            while let Some(intent) = self.next_group(service, engine, roster, demand, now) {
-                let servers = intent.members.iter().filter_map(|it| roster.by_id(&it.id));
+            while let Some(intent) = self.next_group(service, engine, view) {
+                let servers = intent.members.iter().filter_map(|it| view.roster.by_id(&it.id));
                 actions.extend(servers.map(|server| command(server, intent.join())));
                 let names: Vec<&str> = intent.members.iter().map(|it| it.id.as_str()).collect();
                 let text = format_smolstr!("formed for {} on {}", intent.model, names.join(","));
                 self.note(&intent.name.clone(), text);
                 self.intents.push(intent);
             }
+            self.give_way(service, engine, view);
         }
     }
 
@@ -72,31 +79,51 @@
         &mut self,
         service: &SmolStr,
         engine: &Engine,
-        roster: &Roster,
-        demand: &Demand,
-        now: Instant,
+        view: &View<'_>,
     ) -> Option<Intent> {
-        let free = self.free(service, roster);
-        let room = self.load_room(engine, roster);
-        let mut models: Vec<&Model> = engine.models.iter().collect();
-        let supply = |model: &Model| self.supply(service, model) / need(service, model, demand);
-        models.sort_by(|one, other| supply(one).total_cmp(&supply(other)));
-        let (model, site) =
-            models.into_iter().find_map(|model| Some((model, site(&free, model, room)?)))?;
+        let free = self.free(service, view);
+        // Once requests come, instances load in the background and join when they are warm, so
+        // that warm ones need not wait for them.
+        let room = match view.quiet {
+            Some(_) => self.load_room(engine, view),
+            None => 0,
+        };
+        let (model, site) = self
+            .by_need(service, engine, view.demand)
+            .into_iter()
+            .find_map(|model| Some((model, site(&free, model, room)?)))?;
         let members = site
             .members
             .iter()
             .map(|server| Member { id: server.id.clone(), born: server.record.born })
             .collect();
-        self.loads.extend(std::iter::repeat_n(now, site.loads));
+        self.loads.extend(std::iter::repeat_n(view.now, site.loads));
         let epoch = self.next_epoch();
-        Some(Intent::joining(service, epoch, &model.name, members, now))
+        Some(Intent::joining(service, epoch, &model.name, members, view.now))
+    }
+
+    /// The models, the one with the least supply for its need first.
+    pub(super) fn by_need<'a>(
+        &self,
+        service: &SmolStr,
+        engine: &'a Engine,
+        demand: &Demand,
+    ) -> Vec<&'a Model> {
+        let mut models: Vec<&Model> = engine.models.iter().collect();
+        let cover = |model: &Model| self.cover(service, model, demand, 0.0);
+        models.sort_by(|one, other| cover(one).total_cmp(&cover(other)));
+        models
     }
 
-    /// Free instances by domain, in the order of their ids.
-    fn free<'a>(&self, service: &SmolStr, roster: &'a Roster) -> Map<SmolStr, Vec<&'a Server>> {
-        let mut domains: Map<SmolStr, Vec<&Server>> = Map::default();
-        for (_, server) in roster.iter() {
+    /// Supply for the need of a model with `more` groups.
+    fn cover(&self, service: &SmolStr, model: &Model, demand: &Demand, more: f64) -> f64 {
+        (self.groups(service, model) as f64 + more) / model.pace / need(service, model, demand)
+    }
+
+    /// Free instances, without those whose weights are on their way.
+    pub(super) fn free<'a>(&self, service: &SmolStr, view: &View<'a>) -> Free<'a> {
+        let mut domains: Free<'a> = Map::default();
+        for (_, server) in view.roster.iter() {
             let record = &server.record;
             let is_free = record.service == *service
                 && record.phase == roster::Phase::Ready
@@ -123,37 +150,107 @@
     }
 
     /// Loads that may start now.
-    fn load_room(&self, engine: &Engine, roster: &Roster) -> usize {
+    pub(super) fn load_room(&self, engine: &Engine, view: &View<'_>) -> usize {
         let joining = self.intents.iter().filter(|intent| intent.phase == Phase::Joining);
-        let loading = joining
+        let joins = joining
             .flat_map(|intent| intent.members.iter().map(move |member| (intent, member)))
             .filter(|(intent, member)| {
-                let server = roster.by_id(&member.id);
-                let stage =
-                    server.and_then(|it| it.record.seat()).filter(|seat| seat.group == intent.name);
-                stage.is_none_or(|seat| seat.stage == Stage::Joining)
+                let seat = view.roster.by_id(&member.id).and_then(|it| it.record.seat());
+                seat.filter(|seat| seat.group == intent.name)
+                    .is_none_or(|seat| seat.stage == Stage::Joining)
             })
             .count();
-        let rate = (engine.loads_per_s as usize).saturating_sub(self.loads.len());
-        // A group starts as a whole, so that the last one may exceed the number at once.
-        match loading < engine.loads_at_once {
-            true => rate,
-            false => 0,
+        let loading = joins + self.staging.len();
+        let free = engine.loads_at_once.saturating_sub(loading);
+        match view.quiet {
+            Some(left) if left < LAST_LOADS => usize::MAX,
+            // A group starts as a whole, so that the last one may exceed the number at once.
+            Some(_) if free > 0 => usize::MAX,
+            Some(_) => 0,
+            None => free.min((engine.loads_per_s as usize).saturating_sub(self.loads.len())),
         }
     }
 
-    /// Relative throughput of a model's groups.
-    fn supply(&self, service: &SmolStr, model: &Model) -> f64 {
-        let groups = self
-            .intents
+    fn groups(&self, service: &SmolStr, model: &Model) -> usize {
+        let counts = |phase| matches!(phase, Phase::Joining | Phase::Opening | Phase::Open);
+        self.intents
             .iter()
-            .filter(|intent| {
-                intent.service == *service
-                    && intent.model == model.name
-                    && matches!(intent.phase, Phase::Joining | Phase::Opening | Phase::Open)
-            })
-            .count();
-        groups as f64 / model.pace
+            .filter(|it| it.service == *service && it.model == model.name && counts(it.phase))
+            .count()
+    }
+
+    /// Closes groups of a model with ample supply where their members, with free instances, can
+    /// form a group of the model that lacks most.
+    fn give_way(&mut self, service: &SmolStr, engine: &Engine, view: &View<'_>) {
+        let is_settling = self.gave_way.is_some_and(|at| view.now.since(at) < GIVE_WAY_PAUSE);
+        if view.quiet.is_some() || is_settling {
+            return;
+        }
+        let models = self.by_need(service, engine, view.demand);
+        let (Some(poor), Some(rich)) = (models.first(), models.last()) else { return };
+        if poor.name == rich.name {
+            return;
+        }
+        let free = self.free(service, view);
+        let best = free
+            .iter()
+            .map(|(domain, _)| domain.clone())
+            .chain(self.domains(service, view))
+            .filter_map(|domain| self.donors(&domain, &free, poor, rich, view))
+            .min_by_key(Vec::len);
+        let Some(donors) = best else { return };
+        let after = self.cover(service, rich, view.demand, -(donors.len() as f64));
+        if self.cover(service, poor, view.demand, 0.0) >= after * GIVE_WAY {
+            return;
+        }
+        self.gave_way = Some(view.now);
+        for epoch in donors {
+            self.closing.push(epoch);
+        }
+    }
+
+    fn domains(&self, service: &SmolStr, view: &View<'_>) -> Vec<SmolStr> {
+        let mut domains: Vec<SmolStr> = view
+            .roster
+            .iter()
+            .filter(|(_, server)| server.record.service == *service)
+            .filter_map(|(_, server)| Some(server.record.engine.as_ref()?.domain.clone()))
+            .collect();
+        domains.sort_unstable();
+        domains.dedup();
+        domains
+    }
+
+    /// Epochs of the groups of `rich` in `domain` whose members, with the free instances, suffice
+    /// for a group of `poor` without a load.
+    fn donors(
+        &self,
+        domain: &SmolStr,
+        free: &Free<'_>,
+        poor: &Model,
+        rich: &Model,
+        view: &View<'_>,
+    ) -> Option<Vec<u64>> {
+        let is_warm = |server: &Server| effort(server, poor) != Effort::Load;
+        let none = Vec::new();
+        let mut count = free.get(domain).unwrap_or(&none).iter().filter(|it| is_warm(it)).count();
+        let mut donors = Vec::new();
+        for intent in &self.intents {
+            if count >= poor.size {
+                break;
+            }
+            let is_donor = intent.model == rich.name && intent.phase == Phase::Open;
+            let members: Vec<&Server> =
+                intent.members.iter().filter_map(|it| view.roster.by_id(&it.id)).collect();
+            let is_here = members
+                .iter()
+                .all(|it| it.record.engine.as_ref().is_some_and(|engine| engine.domain == *domain));
+            if is_donor && is_here && members.iter().all(|it| is_warm(it)) {
+                count += members.len();
+                donors.push(intent.epoch);
+            }
+        }
+        (count >= poor.size && !donors.is_empty()).then_some(donors)
     }
 }
 
@@ -164,7 +261,7 @@
 
 /// The best place for a group of `model`: the least effort, then the domain that the group fills
 /// best.
-fn site<'a>(free: &Map<SmolStr, Vec<&'a Server>>, model: &Model, room: usize) -> Option<Site<'a>> {
+fn site<'a>(free: &Free<'a>, model: &Model, room: usize) -> Option<Site<'a>> {
     free.iter()
         .filter(|(_, servers)| servers.len() >= model.size)
         .map(|(_, servers)| {
--- a/crates/mgw-fleet/src/plan/intent.rs
+++ b/crates/mgw-fleet/src/plan/intent.rs
@@ -5,8 +5,8 @@
 use mgw_base::time::Instant;
 use smol_str::{SmolStr, format_smolstr};
 
-use crate::config::{Config, Engine};
-use crate::plan::{Action, Order, Planner, RESEND, command};
+use crate::config::Engine;
+use crate::plan::{Action, Order, Planner, RESEND, View, command};
 use crate::roster::{self, Roster, Seat, Server, Stage};
 
 /// Time after the members of a silent head have left it until they are used again. A head that
@@ -132,10 +132,10 @@
 }
 
 impl Planner {
-    /// Takes over groups that instances report and that this planner did not form.
-    pub(super) fn adopt(&mut self, roster: &Roster, config: &Config, now: Instant) {
+    /// Takes over groups that instances report and that this planner does not follow.
+    pub(super) fn adopt(&mut self, view: &View<'_>) {
         let mut seen: Vec<(SmolStr, u64)> = Vec::new();
-        for (_, server) in roster.iter() {
+        for (_, server) in view.roster.iter() {
             let Some(seat) = server.record.seat() else { continue };
             let key = (seat.group.clone(), seat.epoch);
             let is_known =
@@ -144,7 +144,11 @@
                 continue;
             }
             seen.push(key);
-            if let Some(intent) = adopted(roster, config, server, seat, now) {
+            let Some(intent) = adopted(view, server, seat) else { continue };
+            let was_released = self.released.binary_search(&intent.epoch).is_ok();
+            // Members of a released group are free unless its head serves after all.
+            let serves = matches!(intent.phase, Phase::Open | Phase::Closing { .. });
+            if !was_released || serves {
                 self.note(&intent.name.clone(), format_smolstr!("adopted as {:?}", intent.phase));
                 self.intents.push(intent);
             }
@@ -152,27 +156,25 @@
     }
 
     /// Moves each group on.
-    pub(super) fn follow(
-        &mut self,
-        roster: &Roster,
-        config: &Config,
-        now: Instant,
-        actions: &mut Vec<Action>,
-    ) {
+    pub(super) fn follow(&mut self, view: &View<'_>, actions: &mut Vec<Action>) {
         let mut intents = std::mem::take(&mut self.intents);
         intents.retain_mut(|intent| {
-            let engine = config.services.get(&intent.service).and_then(|it| it.engine.as_ref());
-            let Some(engine) = engine else { return false };
-            match self.fate(intent, roster, engine, now, actions) {
+            let service = view.config.services.get(&intent.service);
+            let Some(engine) = service.and_then(|it| it.engine.as_ref()) else { return false };
+            match self.fate(intent, engine, view, actions) {
                 Fate::Keep => true,
                 Fate::Enter(phase, cause) => {
                     self.note(&intent.name, format_smolstr!("{phase:?}: {cause}"));
-                    (intent.phase, intent.since) = (phase, now);
-                    self.announce(intent, roster, now, actions);
+                    (intent.phase, intent.since) = (phase, view.now);
+                    self.announce(intent, view, actions);
                     true
                 }
                 Fate::Release(cause) => {
                     self.note(&intent.name, format_smolstr!("released: {cause}"));
+                    self.closing.retain(|epoch| *epoch != intent.epoch);
+                    if let Err(place) = self.released.binary_search(&intent.epoch) {
+                        self.released.insert(place, intent.epoch);
+                    }
                     false
                 }
             }
@@ -191,11 +193,11 @@
     fn fate(
         &self,
         intent: &mut Intent,
-        roster: &Roster,
         engine: &Engine,
-        now: Instant,
+        view: &View<'_>,
         actions: &mut Vec<Action>,
     ) -> Fate {
+        let (roster, now) = (view.roster, view.now);
         let Some(model) = engine.model(&intent.model) else {
             return Fate::Release("the model is not configured any more".into());
         };
@@ -243,6 +245,10 @@
             (Phase::Open, _) if leaves => {
                 Fate::Enter(Phase::Closing { cut: false }, "a member leaves".into())
             }
+            (Phase::Open, _) if self.closing.contains(&intent.epoch) => Fate::Enter(
+                Phase::Closing { cut: false },
+                "gives way to a model that lacks supply".into(),
+            ),
             (Phase::Open, Some(Stage::Ready | Stage::Joining)) => {
                 Fate::Enter(Phase::Joining, "the head is not open".into())
             }
@@ -299,14 +305,9 @@
     }
 
     /// Sends the order that begins a phase.
-    fn announce(
-        &self,
-        intent: &mut Intent,
-        roster: &Roster,
-        now: Instant,
-        actions: &mut Vec<Action>,
-    ) {
-        intent.ordered = now;
+    fn announce(&self, intent: &mut Intent, view: &View<'_>, actions: &mut Vec<Action>) {
+        let roster = view.roster;
+        intent.ordered = view.now;
         let head = intent.members.first().and_then(|member| self.live(member, roster));
         let order = match intent.phase {
             Phase::Opening => intent.open(),
@@ -339,15 +340,10 @@
 }
 
 /// The intent behind a group that `server` reports; `None` if its members are free.
-fn adopted(
-    roster: &Roster,
-    config: &Config,
-    server: &Server,
-    seat: &Seat,
-    now: Instant,
-) -> Option<Intent> {
+fn adopted(view: &View<'_>, server: &Server, seat: &Seat) -> Option<Intent> {
+    let (roster, now) = (view.roster, view.now);
     let service = &server.record.service;
-    let engine = config.services.get(service)?.engine.as_ref()?;
+    let engine = view.config.services.get(service)?.engine.as_ref()?;
     let mut members: Vec<(usize, &Server)> = roster
         .iter()
         .filter_map(|(_, other)| {
--- a/crates/mgw-gateway/src/follow.rs
+++ b/crates/mgw-gateway/src/follow.rs
@@ -29,6 +29,9 @@
 /// Pause between two reads of the entries' records.
 const ENTRIES_PAUSE: Duration = Duration::from_millis(700);
 
+/// Pause between two reads while the system starts for the first time.
+const START_PAUSE: Duration = Duration::from_millis(100);
+
 /// Pause after a failed call.
 const RETRY_PAUSE: Duration = Duration::from_millis(250);
 
@@ -59,9 +62,10 @@
         }
     }
 
-    fn pause(self, is_planner: bool) -> Duration {
+    fn pause(self, is_planner: bool, is_starting: bool) -> Duration {
         match self {
             Topic::Config => Duration::ZERO,
+            _ if is_starting && (is_planner || self == Topic::Entries) => START_PAUSE,
             Topic::Servers if is_planner => PLANNER_PAUSE,
             Topic::Servers => SERVERS_PAUSE,
             Topic::Entries => ENTRIES_PAUSE,
@@ -99,7 +103,8 @@
                     apply_for_lead(&gate, &mut client, next).await;
                 }
                 let is_planner = gate.with(|state| state.planner.is_some());
-                tokio::time::sleep(topic.pause(is_planner)).await;
+                let is_starting = gate.quiet(clock::now()).is_some();
+                tokio::time::sleep(topic.pause(is_planner, is_starting)).await;
             }
             Err(Error::Status(410)) => next = None,
             Err(error) => {
--- a/crates/mgw-gateway/src/forward.rs
+++ b/crates/mgw-gateway/src/forward.rs
@@ -26,6 +26,7 @@
 use crate::exchange::{Fault, Outcome};
 use crate::flight::{Alarm, Flight, Ticket, Wait};
 use crate::gate::{Gate, State};
+use crate::pool;
 use crate::reply::{self, Cause};
 
 /// Time for a connection to a server.
@@ -875,7 +876,7 @@
     fn keep(&self, connection: Connection, target: &Target, response: &Response, is_sent: bool) {
         let is_sound = is_sent && response.keeps_alive() && connection.input.is_empty();
         if is_sound {
-            let timeout = keep_alive(response);
+            let timeout = pool::keep_alive(response);
             let now = clock::now();
             self.gate.with(|state| state.pool.keep(target.id, connection, timeout, now));
         }
@@ -934,10 +935,3 @@
         });
     }
 }
-
-/// The idle timeout that a server states.
-fn keep_alive(response: &Response) -> Option<Duration> {
-    let value = response.fields.text("keep-alive")?;
-    let seconds = value.split(',').find_map(|part| part.trim().strip_prefix("timeout="))?;
-    seconds.trim().parse().ok().map(Duration::from_secs)
-}
--- a/crates/mgw-gateway/src/gate.rs
+++ b/crates/mgw-gateway/src/gate.rs
@@ -20,6 +20,7 @@
 use smol_str::SmolStr;
 use tokio::sync::Notify;
 
+use crate::clock;
 use crate::flight;
 use crate::journal::Journal;
 use crate::metrics::Metrics;
@@ -28,6 +29,9 @@
 /// Part of the retry budget that is used, as other entries count with a delay.
 const BUDGET_PART: f64 = 0.8;
 
+/// Time from the first start of the system until requests come, less a margin.
+const QUIET: Duration = Duration::from_millis(9_700);
+
 /// Blames that a heartbeat carries.
 const BLAMES: usize = 32;
 
@@ -79,6 +83,8 @@
     pub settings: Settings,
     /// Random bits drawn at the start.
     pub incarnation: u64,
+    /// When the process started.
+    started: Instant,
     /// Wakes the writer of heartbeats.
     pub beat: Notify,
     /// Open connections of callers.
@@ -121,6 +127,7 @@
         Self {
             settings,
             incarnation,
+            started: clock::now(),
             beat: Notify::new(),
             callers: Cell::new(0),
             held: Cell::new(0),
@@ -136,6 +143,12 @@
         f(&mut self.state.borrow_mut())
     }
 
+    /// Time until requests are expected, while the system starts for the first time.
+    pub fn quiet(&self, now: Instant) -> Option<Duration> {
+        let left = QUIET.saturating_sub(now.since(self.started));
+        (self.settings.is_first_start && !left.is_zero()).then_some(left)
+    }
+
     /// Records an event.
     pub fn record(&self, body: Body) {
         self.with(|state| state.journal.record(body));
--- a/crates/mgw-gateway/src/pool.rs
+++ b/crates/mgw-gateway/src/pool.rs
@@ -5,6 +5,7 @@
 use mgw_base::sorted::Map;
 use mgw_base::time::Instant;
 use mgw_fleet::roster::Id;
+use mgw_http::head::Response;
 
 use crate::connection::Connection;
 
@@ -73,3 +74,10 @@
         });
     }
 }
+
+/// The idle timeout that a server states.
+pub fn keep_alive(response: &Response) -> Option<Duration> {
+    let value = response.fields.text("keep-alive")?;
+    let seconds = value.split(',').find_map(|part| part.trim().strip_prefix("timeout="))?;
+    seconds.trim().parse().ok().map(Duration::from_secs)
+}
--- a/crates/mgw-gateway/src/steer.rs
+++ b/crates/mgw-gateway/src/steer.rs
@@ -8,7 +8,7 @@
 use mgw_event::Kind;
 use mgw_event::event::Body;
 use mgw_fleet::entry::{self, Duty, Phase};
-use mgw_fleet::plan::{Action, Command, Planner, Probe};
+use mgw_fleet::plan::{Action, Command, Planner, Probe, View};
 use mgw_http::body::Decoder;
 use mgw_http::head;
 use platform::order::{self, Reply};
@@ -18,6 +18,7 @@
 use crate::clock;
 use crate::connection::Connection;
 use crate::gate::Gate;
+use crate::pool;
 use crate::store::Client;
 
 /// Period of the planner.
@@ -102,6 +103,7 @@
 
 fn step(gate: &Rc<Gate>, term: u64) {
     let now = clock::now();
+    let quiet = gate.quiet(now);
     let actions = gate.with(|state| {
         let Some(config) = state.config.clone() else { return Vec::new() };
         let demand = state.demand();
@@ -109,7 +111,8 @@
         if !state.is_listed {
             return Vec::new();
         }
-        let actions = planner.tick(&state.roster, &config, &demand, now);
+        let view = View { roster: &state.roster, config: &config, demand: &demand, quiet, now };
+        let actions = planner.tick(&view);
         for note in planner.take_notes() {
             let text = format!("{}: {}", note.group, note.text);
             state.journal.record(Body::new(Kind::GroupMoved).text(text));
@@ -210,19 +213,21 @@
         order::head(&mut output, path, instance, body.len());
         output.extend_from_slice(body);
         connection.write(&output).await?;
-        let (status, answer, is_reusable) = answer(&mut connection).await?;
-        Ok::<_, io::Error>((status, answer, is_reusable.then_some(connection)))
+        let (head, answer) = answer(&mut connection).await?;
+        let is_reusable = head.keeps_alive() && connection.input.is_empty();
+        Ok::<_, io::Error>((head, answer, is_reusable.then_some(connection)))
     };
     let result = tokio::time::timeout(limit, exchange).await;
-    let (status, answer, connection) =
+    let (head, answer, connection) =
         result.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
-    if let Some((connection, timeout)) = connection.map(|it| (it, None)) {
+    if let Some(connection) = connection {
+        let timeout = pool::keep_alive(&head);
         gate.with(|state| state.pool.keep(key, connection, timeout, clock::now()));
     }
-    Ok((status, answer))
+    Ok((head.status, answer))
 }
 
-async fn answer(connection: &mut Connection) -> io::Result<(u16, BytesMut, bool)> {
+async fn answer(connection: &mut Connection) -> io::Result<(head::Response, BytesMut)> {
     let invalid = |error| io::Error::new(io::ErrorKind::InvalidData, error);
     let head = loop {
         match head::response(&mut connection.input, HEAD).map_err(invalid)? {
@@ -237,8 +242,7 @@
     loop {
         decoder.decode(&mut connection.input, &mut body).map_err(invalid)?;
         if decoder.is_done() {
-            let is_reusable = head.keeps_alive() && connection.input.is_empty();
-            return Ok((head.status, body, is_reusable));
+            return Ok((head, body));
         }
         if connection.read().await? == 0 {
             decoder.end().map_err(invalid)?;
