--- a/crates/mgw-fleet/src/plan.rs
+++ b/crates/mgw-fleet/src/plan.rs
@@ -22,8 +22,8 @@
 use crate::config::Config;
 use crate::roster::{Roster, Server};
 
-/// Epochs that one term may use.
-const EPOCHS_PER_TERM: u64 = 1_000;
+/// Epochs that one term may use; a planner forms a few groups a second.
+const EPOCHS_PER_TERM: u64 = 1_000_000;
 
 /// An order to an instance.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -161,6 +161,12 @@
         }
     }
 
+    /// A planner of the same term after a time in which another one may have planned. It knows
+    /// nothing, but uses no epoch a second time: two groups with one name would be taken for one.
+    pub fn renewed(&self) -> Self {
+        Self { next: self.next, ..Self::new(self.term) }
+    }
+
     /// The term.
     pub fn term(&self) -> u64 {
         self.term
@@ -209,7 +215,7 @@
     }
 
     fn next_epoch(&mut self) -> u64 {
-        let epoch = self.term * EPOCHS_PER_TERM + self.next.min(EPOCHS_PER_TERM - 1);
+        let epoch = self.term * EPOCHS_PER_TERM + self.next;
         self.next += 1;
         epoch
     }
--- /dev/null
+++ b/crates/mgw-fleet/tests/common/mod.rs
@@ -0,0 +1,215 @@
+//! Builders for the tests of the decisions.
+#![allow(dead_code)]
+
+use std::time::Duration;
+
+use mgw_base::sorted::Map;
+use mgw_base::time::Instant;
+use mgw_fleet::config::{Config, Engine, Kind, Limits, Model, Parts, Route, Service, Team};
+use mgw_fleet::plan::{Action, Command, Demand, Order, Planner, Probe, View};
+use mgw_fleet::roster::{self, Phase, Record, Roster, Seat, Stage};
+use smol_str::{SmolStr, format_smolstr};
+
+pub const LARGE: &str = "large";
+pub const SMALL: &str = "small";
+
+pub fn at(ms: u64) -> Instant {
+    Instant::from_millis(ms)
+}
+
+pub fn route(host: &str, prefix: &str) -> Route {
+    Route {
+        name: "route".into(),
+        host: host.into(),
+        prefix: prefix.into(),
+        kind: Kind::Resumable,
+        timeout: Duration::from_secs(8),
+        objective: Duration::from_millis(400),
+        gap: None,
+        attempts: 2,
+        priority: 1,
+        anonymous: false,
+        services: vec![("engines".into(), 1)],
+    }
+}
+
+/// A service with a model of 4 instances and one of 2.
+pub fn engine() -> Engine {
+    let model = |name: &str, size, pace| Model {
+        name: name.into(),
+        size,
+        share: 0.5,
+        pace,
+        load: Duration::from_secs(16),
+        warm: Duration::from_millis(1_600),
+    };
+    Engine {
+        slots: 17,
+        models: vec![model(LARGE, 4, 1.0), model(SMALL, 2, 0.6)],
+        loads_per_s: 5.0,
+        loads_at_once: 7,
+        form: Duration::from_millis(300),
+        step: Duration::from_millis(8),
+        step_per_request: Duration::from_micros(95),
+        read_per_s: 45_900.0,
+        answer_tokens: 154.0,
+    }
+}
+
+pub fn config() -> Config {
+    let services = [("engines".into(), Service { connections: 278, engine: Some(engine()) })];
+    let team = Team { name: "team".into(), priority: None };
+    Config::new(Parts {
+        version: 1,
+        routes: vec![route("host.example", "/a/"), route("host.example", "/a/b/")],
+        services: services.into_iter().collect(),
+        limits: Limits::default(),
+        teams: Some(vec![(team, vec!["key".into()])]),
+    })
+}
+
+pub fn record(domain: usize) -> Record {
+    Record {
+        service: "engines".into(),
+        address: "10.0.0.1:80".parse().expect("an address"),
+        zone: "a".into(),
+        phase: Phase::Ready,
+        slots: 17,
+        born: 1,
+        engine: Some(roster::Engine {
+            model: None,
+            domain: format_smolstr!("d{domain}"),
+            staged: vec![LARGE.into(), SMALL.into()],
+            seat: None,
+        }),
+    }
+}
+
+/// Instances that carry out orders at once, and their entries.
+pub struct World {
+    pub roster: Roster,
+    pub config: Config,
+    pub demand: Demand,
+    pub records: Map<SmolStr, Record>,
+    /// Instances that neither write entries nor answer.
+    pub silent: Vec<SmolStr>,
+    pub now: Instant,
+    /// All orders that were given.
+    pub orders: Vec<Command>,
+}
+
+impl World {
+    /// Domains of `each` instances named `dX-nY`.
+    pub fn new(domains: usize, each: usize) -> Self {
+        let mut world = Self {
+            roster: Roster::default(),
+            config: config(),
+            demand: Demand::default(),
+            records: Map::default(),
+            silent: Vec::new(),
+            now: at(10_000),
+            orders: Vec::new(),
+        };
+        for domain in 0..domains {
+            for node in 0..each {
+                world.records.insert(format_smolstr!("d{domain}-n{node}"), record(domain));
+            }
+        }
+        world.publish();
+        world
+    }
+
+    /// Writes the entries of all instances that live.
+    pub fn publish(&mut self) {
+        for (id, record) in self.records.iter() {
+            if !self.silent.contains(id) {
+                self.roster.upsert(id, record.clone(), self.now);
+            }
+        }
+    }
+
+    /// Runs the planner for `ms` in steps of 150 ms and carries its orders out.
+    pub fn run(&mut self, planner: &mut Planner, ms: u64) {
+        for _ in 0..ms.div_ceil(150) {
+            self.now = self.now + Duration::from_millis(150);
+            self.publish();
+            let view = View {
+                roster: &self.roster,
+                config: &self.config,
+                demand: &self.demand,
+                quiet: None,
+                now: self.now,
+            };
+            for action in planner.tick(&view) {
+                match action {
+                    Action::Order(command) => self.carry_out(command),
+                    Action::Probe(id) => {
+                        let is_silent = self.silent.contains(&id);
+                        let probe = if is_silent { Probe::Silent } else { Probe::Alive };
+                        planner.probed(&id, probe, self.now);
+                    }
+                }
+            }
+        }
+    }
+
+    fn carry_out(&mut self, command: Command) {
+        self.orders.push(command.clone());
+        if self.silent.contains(&command.instance) {
+            return;
+        }
+        let record = self.records.get_mut(&command.instance).expect("a known instance");
+        let engine = record.engine.as_mut().expect("an engine");
+        let seat = engine.seat.as_mut();
+        match command.order {
+            Order::Join { group, epoch, model, members } => {
+                let rank = members.iter().position(|it| *it == command.instance);
+                let rank = rank.expect("a member");
+                engine.model = Some(model);
+                engine.seat = Some(Seat { group, epoch, rank, stage: Stage::Ready });
+            }
+            Order::Open { epoch, .. } => {
+                let seat = seat.filter(|seat| seat.epoch == epoch).expect("a seat");
+                seat.stage = Stage::Open;
+            }
+            Order::Close { epoch, .. } => {
+                if let Some(seat) = seat.filter(|seat| seat.epoch == epoch) {
+                    seat.stage = Stage::Ready;
+                }
+            }
+            Order::Leave { epoch, .. } => {
+                if seat.is_some_and(|seat| seat.epoch == epoch) {
+                    engine.seat = None;
+                }
+            }
+            Order::Stage { model } => engine.staged.push(model),
+        }
+    }
+
+    /// Names of the open groups of a model.
+    pub fn open(&self, model: &str) -> Vec<SmolStr> {
+        let heads = self.records.iter().filter(|(id, _)| !self.silent.contains(id));
+        heads
+            .filter_map(|(_, record)| {
+                let engine = record.engine.as_ref()?;
+                let seat = engine.seat.as_ref()?;
+                let is_open = seat.rank == 0 && seat.stage == Stage::Open;
+                (is_open && engine.model.as_deref() == Some(model)).then(|| seat.group.clone())
+            })
+            .collect()
+    }
+
+    /// The id of the head of the first open group of a model, and of another member.
+    pub fn members(&self, group: &str) -> Vec<SmolStr> {
+        let mut members: Vec<(usize, SmolStr)> = self
+            .records
+            .iter()
+            .filter_map(|(id, record)| {
+                let seat = record.seat().filter(|seat| seat.group == group)?;
+                Some((seat.rank, id.clone()))
+            })
+            .collect();
+        members.sort();
+        members.into_iter().map(|(_, id)| id).collect()
+    }
+}
--- /dev/null
+++ b/crates/mgw-fleet/tests/plan.rs
@@ -0,0 +1,136 @@
+//! The planner on instances that carry out orders at once.
+
+mod common;
+
+use common::{LARGE, SMALL, World};
+use mgw_fleet::plan::{Order, Planner};
+use mgw_fleet::roster::Phase;
+
+/// Guards against instances that stay idle although they could join a group.
+#[test]
+fn fills_domains_with_whole_groups() {
+    let mut world = World::new(2, 10);
+    let mut planner = Planner::new(5);
+    world.run(&mut planner, 3_000);
+    let (large, small) = (world.open(LARGE).len(), world.open(SMALL).len());
+    assert_eq!(large * 4 + small * 2, 20, "{large} large and {small} small groups");
+    assert!(large >= 2 && small >= 2, "{large} large and {small} small groups");
+}
+
+/// Guards against members of one group in different domains, where it would run slower.
+#[test]
+fn keeps_groups_inside_domains() {
+    let mut world = World::new(3, 5);
+    let mut planner = Planner::new(5);
+    world.run(&mut planner, 3_000);
+    for group in world.open(LARGE).into_iter().chain(world.open(SMALL)) {
+        let members = world.members(&group);
+        let domain = &members[0][..2];
+        assert!(members.iter().all(|id| id.starts_with(domain)), "{members:?}");
+    }
+}
+
+/// Guards against a group that stays down although its survivors and a free instance suffice.
+#[test]
+fn replaces_a_lost_member() {
+    let mut world = World::new(1, 5);
+    world.demand.insert(("engines".into(), LARGE.into()), 1.0);
+    world.demand.insert(("engines".into(), SMALL.into()), 0.0);
+    let mut planner = Planner::new(5);
+    world.run(&mut planner, 2_000);
+    let group = world.open(LARGE).first().cloned().expect("a group");
+    let lost = world.members(&group)[2].clone();
+    world.silent.push(lost.clone());
+    world.run(&mut planner, 6_000);
+    let formed = world.open(LARGE);
+    assert_eq!(formed.len(), 1);
+    assert_ne!(formed[0], group);
+    assert!(!world.members(&formed[0]).contains(&lost));
+}
+
+/// Guards against members that serve in a new group while the silent head of the old one may still
+/// take requests: they leave it, and join another one only after the head must have noticed.
+#[test]
+fn waits_for_a_silent_head() {
+    let mut world = World::new(1, 4);
+    let mut planner = Planner::new(5);
+    world.demand.insert(("engines".into(), SMALL.into()), 0.0);
+    world.run(&mut planner, 2_000);
+    let group = world.open(LARGE).first().cloned().expect("a group");
+    let members = world.members(&group);
+    world.silent.push(members[0].clone());
+    world.orders.clear();
+    world.run(&mut planner, 4_500);
+    let joins = |world: &World| {
+        world.orders.iter().filter(|it| matches!(it.order, Order::Join { .. })).count()
+    };
+    let leaves = world.orders.iter().filter(|it| matches!(it.order, Order::Leave { .. })).count();
+    assert_eq!(leaves, 3);
+    assert_eq!(joins(&world), 0, "joined before the head could have noticed");
+    world.run(&mut planner, 4_000);
+    assert!(joins(&world) >= 2, "the survivors are used again");
+}
+
+/// Guards against two groups with one name: an entry that lost the role for a while and gets it
+/// back under the same term began to count its epochs anew, and members of two groups were taken
+/// for one (seen as an instance in two groups after an outage of the store).
+#[test]
+fn uses_no_epoch_twice_within_a_term() {
+    let mut world = World::new(1, 10);
+    let mut planner = Planner::new(5);
+    world.run(&mut planner, 3_000);
+    let first: Vec<_> = planner.intents().iter().map(|intent| intent.epoch).collect();
+    let mut renewed = planner.renewed();
+    for (_, record) in world.records.iter_mut() {
+        record.engine.as_mut().expect("an engine").seat = None;
+    }
+    world.run(&mut renewed, 3_000);
+    let second: Vec<_> = renewed.intents().iter().map(|intent| intent.epoch).collect();
+    assert!(!second.is_empty());
+    assert!(second.iter().all(|epoch| !first.contains(epoch)), "{first:?} {second:?}");
+}
+
+/// Guards against orders to groups that serve when another entry takes over the role.
+#[test]
+fn adopts_groups_without_orders() {
+    let mut world = World::new(2, 10);
+    let mut planner = Planner::new(5);
+    world.run(&mut planner, 3_000);
+    let before = (world.open(LARGE), world.open(SMALL));
+    world.orders.clear();
+    let mut next = Planner::new(9);
+    world.run(&mut next, 3_000);
+    assert_eq!((world.open(LARGE), world.open(SMALL)), before);
+    assert!(world.orders.is_empty(), "{:?}", world.orders);
+}
+
+/// Guards against new requests for a group whose member leaves: the group closes and forms again.
+#[test]
+fn closes_a_group_whose_member_leaves() {
+    let mut world = World::new(1, 6);
+    let mut planner = Planner::new(5);
+    world.run(&mut planner, 3_000);
+    let group = world.open(LARGE).first().cloned().expect("a group");
+    let leaving = world.members(&group)[1].clone();
+    world.records.get_mut(&leaving).expect("a member").phase = Phase::Draining;
+    world.orders.clear();
+    world.run(&mut planner, 1_000);
+    let closes = |order: &Order| matches!(order, Order::Close { cut: false, .. });
+    assert!(world.orders.iter().any(|it| closes(&it.order)), "{:?}", world.orders);
+    assert!(!world.open(LARGE).contains(&group));
+}
+
+/// Guards against a model that stays without supply while the other one has more than it needs.
+#[test]
+fn groups_give_way_to_a_model_that_lacks_supply() {
+    let mut world = World::new(1, 12);
+    world.demand.insert(("engines".into(), LARGE.into()), 0.02);
+    world.demand.insert(("engines".into(), SMALL.into()), 0.98);
+    let mut planner = Planner::new(5);
+    world.run(&mut planner, 3_000);
+    let before = world.open(LARGE).len();
+    world.demand.insert(("engines".into(), LARGE.into()), 0.9);
+    world.demand.insert(("engines".into(), SMALL.into()), 0.1);
+    world.run(&mut planner, 10_000);
+    assert!(world.open(LARGE).len() > before, "{before} before");
+}
--- a/crates/mgw-gateway/src/follow.rs
+++ b/crates/mgw-gateway/src/follow.rs
@@ -102,7 +102,7 @@
                 if topic == Topic::Entries {
                     apply_for_lead(&gate, &mut client, next).await;
                 }
-                let is_planner = gate.with(|state| state.planner.is_some());
+                let is_planner = gate.with(|state| state.is_leading);
                 let is_starting = gate.quiet(clock::now()).is_some();
                 tokio::time::sleep(topic.pause(is_planner, is_starting)).await;
             }
--- a/crates/mgw-gateway/src/gate.rs
+++ b/crates/mgw-gateway/src/gate.rs
@@ -52,8 +52,10 @@
     grouped: Option<(u64, u64)>,
     /// The other entries and the planner.
     pub entries: entry::Table,
-    /// Set while this entry plans.
+    /// The planner of the newest term that this entry held.
     pub planner: Option<Planner>,
+    /// Whether this entry holds the planner's role.
+    pub is_leading: bool,
     /// The requests in flight.
     pub flights: flight::Table,
     /// Idle connections to servers.
@@ -113,6 +115,7 @@
             grouped: None,
             entries: entry::Table::default(),
             planner: None,
+            is_leading: false,
             flights: flight::Table::default(),
             pool: Pool::default(),
             retries,
@@ -190,6 +193,16 @@
         Rc::clone(&self.groups)
     }
 
+    /// The newest term that this entry held.
+    pub fn term(&self) -> Option<u64> {
+        self.planner.as_ref().map(Planner::term)
+    }
+
+    /// The planner, while this entry holds the role.
+    pub fn leading(&mut self) -> Option<&mut Planner> {
+        self.planner.as_mut().filter(|_| self.is_leading)
+    }
+
     /// Whether requests with keys may be served.
     pub fn covers_keys(&self, bound: Option<Duration>, now: Instant) -> bool {
         bound.is_none_or(|bound| self.proof.covers_keys(bound, now))
--- a/crates/mgw-gateway/src/office.rs
+++ b/crates/mgw-gateway/src/office.rs
@@ -133,7 +133,7 @@
             ("groups_known", groups.len() as u64),
             ("groups_servable", servable),
             ("entries_serving", state.entries.serving().count() as u64),
-            ("is_planner", u64::from(state.planner.is_some())),
+            ("is_planner", u64::from(state.is_leading)),
             ("config_version", state.config.as_ref().map_or(0, |config| config.version)),
             ("config_proof_age_ms", proof),
             ("log_bytes", state.journal.total()),
--- a/crates/mgw-gateway/src/steer.rs
+++ b/crates/mgw-gateway/src/steer.rs
@@ -82,21 +82,25 @@
             Phase::Serving => state.entries.duty(name, gate.incarnation, now),
             Phase::Starting | Phase::Draining => Duty::Follow,
         };
-        let known = state.planner.as_ref().map(Planner::term);
-        match (duty, known) {
-            (Duty::Lead { term }, Some(known)) if known == term => Some(term),
-            (Duty::Lead { term }, _) => {
-                state.planner = Some(Planner::new(term));
+        match duty {
+            Duty::Lead { term } if state.is_leading && state.term() == Some(term) => Some(term),
+            Duty::Lead { term } => {
+                let planner = match &state.planner {
+                    Some(known) if known.term() == term => known.renewed(),
+                    Some(_) | None => Planner::new(term),
+                };
+                state.planner = Some(planner);
+                state.is_leading = true;
                 state.journal.record(Body::new(Kind::LeadTaken).entry(name).offset(term));
                 Some(term)
             }
-            (Duty::Follow | Duty::Apply, Some(known)) => {
-                state.planner = None;
-                let text = format!("term {known}");
-                state.journal.record(Body::new(Kind::LeadLost).entry(name).text(text));
+            Duty::Follow | Duty::Apply => {
+                if std::mem::take(&mut state.is_leading) {
+                    let text = format!("term {}", state.term().unwrap_or_default());
+                    state.journal.record(Body::new(Kind::LeadLost).entry(name).text(text));
+                }
                 None
             }
-            (Duty::Follow | Duty::Apply, None) => None,
         }
     })
 }
@@ -147,7 +151,7 @@
         Ok(Reply::Begun) => state.roster.note_order(&command.instance),
         Ok(Reply::Conflict) => state.roster.forget_orders(&command.instance),
         // Another entry has planned since. The role is read again from the store.
-        Ok(Reply::Fenced) if state.entries.term() != Some(term) => state.planner = None,
+        Ok(Reply::Fenced) if state.entries.term() != Some(term) => state.is_leading = false,
         Ok(Reply::Fenced | Reply::Done | Reply::Rejected) | Err(_) => {}
     });
 }
@@ -183,7 +187,7 @@
             let text = format!("probe: {probe:?}");
             state.journal.record(Body::new(Kind::OrderAnswered).instance(&instance).text(text));
         }
-        if let Some(planner) = &mut state.planner {
+        if let Some(planner) = state.leading() {
             planner.probed(&instance, probe, now);
         }
     });
--- a/crates/mgw-gateway/src/tick.rs
+++ b/crates/mgw-gateway/src/tick.rs
@@ -67,7 +67,7 @@
             if let Some(load) = state.roster.load_mut(target) {
                 load.avoid(now + AVOID_STALLED);
             }
-            if let Some(planner) = &mut state.planner {
+            if let Some(planner) = state.leading() {
                 planner.suspect(&name, now);
             }
             if is_new {
