share: entries tell each other their requests at shared targets; need of models by instance time

Datagrams each 100 ms carry each entry's counts. Cause of starved large models: demand was counted in requests; it is now counted in instance seconds.

--- a/crates/mgw-fleet/src/config.rs
+++ b/crates/mgw-fleet/src/config.rs
@@ -64,7 +64,7 @@
     pub name: SmolStr,
     /// Instances of one replica; at least 1.
     pub size: usize,
-    /// Share of the service's work when traffic begins, 0 to 1.
+    /// Share of the service's instances that its requests take when traffic begins, 0 to 1.
     pub share: f64,
     /// Factor on all times of a group; above 0.
     pub pace: f64,
@@ -98,6 +98,15 @@
 }
 
 impl Engine {
+    /// Time of a group that a request of `model` takes when the group is full, in seconds: the
+    /// prompt is read alone, each step writes a token of every request.
+    pub fn work(&self, model: &Model, prompt: u32, answer: u32) -> f64 {
+        let slots = f64::from(self.slots.max(1));
+        let step = self.step.as_secs_f64() + self.step_per_request.as_secs_f64() * slots;
+        let read = f64::from(prompt) / self.read_per_s.max(1.0);
+        (read + f64::from(answer) * step / slots) * model.pace
+    }
+
     /// The model called `name`.
     pub fn model(&self, name: &str) -> Option<&Model> {
         self.models.iter().find(|model| model.name == name)
--- a/crates/mgw-fleet/src/lib.rs
+++ b/crates/mgw-fleet/src/lib.rs
@@ -12,3 +12,4 @@
 pub mod place;
 pub mod plan;
 pub mod roster;
+pub mod share;
--- a/crates/mgw-fleet/src/place.rs
+++ b/crates/mgw-fleet/src/place.rs
@@ -72,11 +72,15 @@
         self.avoided.is_some_and(|until| now < until)
     }
 
-    /// Requests that are probably at the target, of all entries.
-    pub fn requests(&self, now: Instant) -> f64 {
-        let others = self
-            .report
-            .map_or(0.0, |report| report.others * decay(now.since(report.at), REPORT_HALF_LIFE));
+    /// Requests that are probably at the target, of all entries. `told` is what the other entries
+    /// tell of theirs; without it the target's last report is used.
+    pub fn requests(&self, told: Option<u32>, now: Instant) -> f64 {
+        let reported =
+            |report: Report| report.others * decay(now.since(report.at), REPORT_HALF_LIFE);
+        let others = match told {
+            Some(told) => f64::from(told),
+            None => self.report.map_or(0.0, reported),
+        };
         f64::from(self.in_flight) + others
     }
 
@@ -97,6 +101,8 @@
     pub id: Id,
     /// Its load.
     pub load: &'a Load,
+    /// Requests that are probably there, of all entries.
+    pub requests: f64,
     /// Requests that it runs at once.
     pub slots: u32,
     /// Whether it is in the entry's own zone.
@@ -156,7 +162,7 @@
     }
     let free: Vec<(f64, &Candidate<'_>)> = pool
         .into_iter()
-        .map(|it| (f64::from(it.slots) + options.waiting - it.load.requests(now), it))
+        .map(|it| (f64::from(it.slots) + options.waiting - it.requests, it))
         .filter(|(room, _)| *room >= 1.0)
         .collect();
     let total: f64 = free.iter().map(|(room, _)| room).sum();
@@ -179,5 +185,5 @@
     let load = candidate.load;
     let near = if candidate.is_near { options.near_bonus } else { 0.0 };
     let failures = (load.failures(now) - USUAL_FAILURES).max(0.0);
-    load.requests(now) / f64::from(candidate.slots.max(1)) - near + failures * 4.0
+    candidate.requests / f64::from(candidate.slots.max(1)) - near + failures * 4.0
 }
--- a/crates/mgw-fleet/src/plan.rs
+++ b/crates/mgw-fleet/src/plan.rs
@@ -99,7 +99,7 @@
     pub text: SmolStr,
 }
 
-/// Requests seen of each model, as a weight.
+/// Share of a service's instances that the requests for a model take, by service and model.
 pub type Demand = Map<(SmolStr, SmolStr), f64>;
 
 /// The planner's memory during one term.
--- a/crates/mgw-fleet/src/plan/form.rs
+++ b/crates/mgw-fleet/src/plan/form.rs
@@ -115,9 +115,10 @@
         models
     }
 
-    /// Supply for the need of a model with `more` groups.
+    /// Instances that serve a model, with `more` groups, in relation to the need.
     fn cover(&self, service: &SmolStr, model: &Model, demand: &Demand, more: f64) -> f64 {
-        (self.groups(service, model) as f64 + more) / model.pace / need(service, model, demand)
+        let groups = self.groups(service, model) as f64 + more;
+        groups * model.size as f64 / need(service, model, demand)
     }
 
     /// Free instances, without those whose weights are on their way.
@@ -254,7 +255,7 @@
     }
 }
 
-/// Relative need of a model: its share of the observed requests, or the configured one.
+/// Relative need of a model: its share of the observed work, or the configured one.
 fn need(service: &SmolStr, model: &Model, demand: &Demand) -> f64 {
     demand.get(&(service.clone(), model.name.clone())).copied().unwrap_or(model.share).max(0.02)
 }
--- /dev/null
+++ b/crates/mgw-fleet/src/share.rs
@@ -0,0 +1,129 @@
+//! What entries tell each other of their requests at shared targets.
+//!
+//! A target is used by all entries, and its own report is as old as its last answer. Each entry
+//! therefore sends the others its counts several times a second, as datagrams: the newest one
+//! replaces all earlier ones, so a lost one does no harm.
+
+use std::time::Duration;
+
+use bincode::{Decode, Encode};
+use mgw_base::hash;
+use mgw_base::sorted::Map;
+use mgw_base::time::Instant;
+use smol_str::SmolStr;
+
+/// Version byte of the encoding.
+const VERSION: u8 = 1;
+
+/// Largest datagram in bytes.
+pub const LIMIT: usize = 1_200;
+
+/// Time after which an entry's counts no longer count.
+const STALE: Duration = Duration::from_millis(800);
+
+/// The most entries that a round is sent to; more entries see each other's counts in turn.
+pub const FAN_OUT: usize = 24;
+
+/// Hash of a target's id.
+pub fn target(id: &str) -> u64 {
+    hash::parts(&[id.as_bytes()]) as u64
+}
+
+/// The counts of one entry.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct Share {
+    /// Incarnation of the sender.
+    pub sender: u64,
+    /// Ascends with each round.
+    pub sequence: u64,
+    /// Requests in flight by target; targets without any are left out.
+    pub counts: Vec<(u64, u16)>,
+    /// Targets that stand still.
+    pub stalled: Vec<u64>,
+}
+
+/// The bytes of a datagram.
+///
+/// # Errors
+///
+/// The encoder fails.
+pub fn encode(share: &Share) -> Result<Vec<u8>, bincode::error::EncodeError> {
+    let mut bytes = vec![VERSION];
+    bytes.extend(bincode::encode_to_vec(share, bincode::config::standard())?);
+    Ok(bytes)
+}
+
+/// The counts in a datagram; `None` if it is malformed or of another version.
+pub fn decode(bytes: &[u8]) -> Option<Share> {
+    let (version, rest) = bytes.split_first()?;
+    let config = bincode::config::standard().with_limit::<LIMIT>();
+    let (share, size) = bincode::decode_from_slice(rest, config).ok()?;
+    (*version == VERSION && size == rest.len()).then_some(share)
+}
+
+#[derive(Clone, Debug)]
+struct Peer {
+    share: Share,
+    at: Instant,
+}
+
+/// The newest counts of the other entries.
+#[derive(Clone, Debug, Default)]
+pub struct Table {
+    peers: Map<u64, Peer>,
+    /// Sums over the peers, sorted by target.
+    sums: Vec<(u64, u32)>,
+}
+
+impl Table {
+    /// Takes a datagram; an older one than is known changes nothing.
+    pub fn take(&mut self, share: Share, now: Instant) {
+        let is_older =
+            self.peers.get(&share.sender).is_some_and(|it| it.share.sequence >= share.sequence);
+        if !is_older {
+            self.peers.insert(share.sender, Peer { share, at: now });
+            self.sum();
+        }
+    }
+
+    /// Forgets entries that are silent.
+    pub fn tick(&mut self, now: Instant) {
+        let before = self.peers.len();
+        self.peers.retain(|_, peer| now.since(peer.at) < STALE);
+        if self.peers.len() != before {
+            self.sum();
+        }
+    }
+
+    /// The number of entries whose counts are known.
+    pub fn len(&self) -> usize {
+        self.peers.len()
+    }
+
+    /// Whether no entry's counts are known.
+    pub fn is_empty(&self) -> bool {
+        self.peers.is_empty()
+    }
+
+    /// Requests of the other entries at a target.
+    pub fn requests(&self, target: u64) -> u32 {
+        let place = self.sums.binary_search_by_key(&target, |(id, _)| *id);
+        place.map_or(0, |place| self.sums[place].1)
+    }
+
+    fn sum(&mut self) {
+        let mut sums: Map<u64, u32> = Map::default();
+        for (_, peer) in self.peers.iter() {
+            for (target, count) in &peer.share.counts {
+                *sums.entry(*target, || 0) += u32::from(*count);
+            }
+        }
+        self.sums = sums.iter().map(|(target, count)| (*target, *count)).collect();
+    }
+}
+
+/// The address for datagrams of an entry with the given address for callers.
+pub fn address(callers: &str, port: u16) -> Option<SmolStr> {
+    let (ip, _) = callers.rsplit_once(':')?;
+    Some(SmolStr::from(format!("{ip}:{port}")))
+}
--- a/crates/mgw-gateway/src/forward.rs
+++ b/crates/mgw-gateway/src/forward.rs
@@ -10,6 +10,7 @@
 use mgw_fleet::config::{Config, Holder, Kind, Route};
 use mgw_fleet::place::{self, Candidate};
 use mgw_fleet::roster::{Id, Phase};
+use mgw_fleet::share;
 use mgw_http::body::{Decoder, Framing};
 use mgw_http::event::Splitter;
 use mgw_http::head::{self, Request, Response};
@@ -220,9 +221,9 @@
             Verdict::Quarantined { .. } => return Err(Cause::Quarantined),
         };
         let service = draw_service(&route.services, state);
-        if let Some(model) = &caller.model {
-            let key = (service.clone(), model.clone());
-            *state.asked.entry(key, || 0.0) += 1.0;
+        if let Some(work) = instance_seconds(&config, &service, &caller) {
+            let key = (service.clone(), caller.model.clone().unwrap_or_default());
+            *state.asked.entry(key, || 0.0) += work;
         }
         let ticket = state.flights.insert(Flight {
             deadline,
@@ -267,6 +268,14 @@
     })
 }
 
+/// Time that a request takes of the instances of a group.
+fn instance_seconds(config: &Config, service: &str, caller: &header::Caller) -> Option<f64> {
+    let engine = config.services.get(&SmolStr::new(service))?.engine.as_ref()?;
+    let model = engine.model(caller.model.as_deref()?)?;
+    let (prompt, answer) = caller.work()?;
+    Some(engine.work(model, prompt, answer) * model.size as f64)
+}
+
 fn draw_service(services: &[(SmolStr, u32)], state: &mut State) -> SmolStr {
     let total: u32 = services.iter().map(|(_, weight)| weight).sum();
     let mut point = if total > 0 { state.random.random_range(0..total) } else { 0 };
@@ -345,6 +354,8 @@
                         .at(id)
                         .any(|it| it.is_suspect && it.fingerprint != 0 && it.target == Some(id))
             };
+            let shares = Some(&state.shares).filter(|shares| !shares.is_empty());
+            let told = |id: &str| shares.map(|it| it.requests(share::target(id)));
             let mut candidates: Vec<Candidate<'_>> = Vec::new();
             let mut add = |id: Id, slots: u32| {
                 let Some(server) = state.roster.get(id) else { return };
@@ -352,6 +363,7 @@
                     candidates.push(Candidate {
                         id,
                         load: &server.load,
+                        requests: server.load.requests(told(&server.id), now),
                         slots,
                         is_near: server.record.zone == gate.settings.zone,
                         is_tried: self.tried.contains(&id),
@@ -388,12 +400,13 @@
                 place::Error::Absent => Cause::NoTarget,
                 place::Error::Full => Cause::Full,
             })?;
+            let requests = candidates.iter().find(|it| it.id == id).map(|it| it.requests);
             let server = state.roster.get(id).ok_or(Cause::NoTarget)?;
             Ok(Target {
                 id,
                 name: server.id.clone(),
                 address: server.record.address,
-                requests: server.load.requests(now),
+                requests: requests.unwrap_or_default(),
             })
         })
     }
--- a/crates/mgw-gateway/src/gate.rs
+++ b/crates/mgw-gateway/src/gate.rs
@@ -13,6 +13,7 @@
 use mgw_fleet::group::{self, Group};
 use mgw_fleet::plan::{Demand, Planner};
 use mgw_fleet::roster::Roster;
+use mgw_fleet::share;
 use mgw_route::{quarantine, retry};
 use platform::settings::Settings;
 use rand::SeedableRng;
@@ -50,6 +51,10 @@
     groups: Rc<Vec<Group>>,
     /// Revision of the roster and version of the configuration of `groups`.
     grouped: Option<(u64, u64)>,
+    /// Requests of the other entries at the targets.
+    pub shares: share::Table,
+    /// Hashes of the targets that stand still, for the other entries.
+    pub stalled: Vec<u64>,
     /// The other entries and the planner.
     pub entries: entry::Table,
     /// The planner of the newest term that this entry held.
@@ -66,7 +71,7 @@
     pub quarantine: quarantine::Table,
     /// This entry's newest blames.
     pub blames: Vec<entry::Blame>,
-    /// Requests per service and model, decaying.
+    /// Instance seconds that requests took, by service and model, decaying.
     pub asked: Demand,
     /// Whether the process serves.
     pub phase: Phase,
@@ -113,6 +118,8 @@
             is_listed: false,
             groups: Rc::default(),
             grouped: None,
+            shares: share::Table::default(),
+            stalled: Vec::new(),
             entries: entry::Table::default(),
             planner: None,
             is_leading: false,
@@ -226,10 +233,10 @@
         self.blames.drain(..excess);
     }
 
-    /// Relative demand for the models, once enough requests were seen.
+    /// The models' shares of the work, once enough requests were seen.
     pub fn demand(&self) -> Demand {
-        /// Requests below which the configured shares are used.
-        const ENOUGH: f64 = 40.0;
+        /// Instance seconds below which the configured shares are used.
+        const ENOUGH: f64 = 8.0;
         let mut totals: Map<SmolStr, f64> = Map::default();
         for ((service, _), weight) in self.asked.iter() {
             *totals.entry(service.clone(), || 0.0) += weight;
--- a/crates/mgw-gateway/src/lib.rs
+++ b/crates/mgw-gateway/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod pool;
 pub mod reply;
 pub mod run;
+pub mod share;
 pub mod steer;
 pub mod store;
 pub mod tick;
--- a/crates/mgw-gateway/src/run.rs
+++ b/crates/mgw-gateway/src/run.rs
@@ -11,7 +11,7 @@
 use platform::settings::Settings;
 use rand::rngs::SmallRng;
 use rand::{Rng as _, SeedableRng as _};
-use tokio::net::{TcpListener, TcpSocket};
+use tokio::net::{TcpListener, TcpSocket, UdpSocket};
 use tokio::signal::unix::{SignalKind, signal};
 
 use crate::clock;
@@ -20,6 +20,7 @@
 use crate::gate::Gate;
 use crate::journal::Journal;
 use crate::office::{self, Desk};
+use crate::share;
 use crate::steer;
 use crate::tick;
 
@@ -52,6 +53,8 @@
     let readiness = bind(settings.readiness)?;
     let directory = bind(settings.directory)?;
     let metrics = bind(settings.metrics)?;
+    let datagrams = UdpSocket::bind(settings.metrics).await;
+    let datagrams = Rc::new(datagrams.with_context(|| format!("bind {}", settings.metrics))?);
     let text = format!("incarnation {incarnation:016x}, callers at {}", settings.callers);
     gate.record(Body::new(Kind::GatewayStarted).entry(&settings.entry).text(text));
     for topic in [Topic::Config, Topic::Servers, Topic::Entries] {
@@ -59,7 +62,8 @@
     }
     actix_rt::spawn(steer::beat(Rc::clone(&gate)));
     actix_rt::spawn(steer::plan(Rc::clone(&gate)));
-    actix_rt::spawn(tick::run(Rc::clone(&gate)));
+    actix_rt::spawn(share::receive(Rc::clone(&gate), Rc::clone(&datagrams)));
+    actix_rt::spawn(tick::run(Rc::clone(&gate), datagrams));
     actix_rt::spawn(front::run(Rc::clone(&gate), callers));
     actix_rt::spawn(office::run(Rc::clone(&gate), readiness, Desk::Readiness));
     actix_rt::spawn(office::run(Rc::clone(&gate), directory, Desk::Directory));
--- /dev/null
+++ b/crates/mgw-gateway/src/share.rs
@@ -0,0 +1,96 @@
+//! Datagrams with the counts of requests, to and from the other entries.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use mgw_base::sorted::Map;
+use mgw_fleet::entry::Phase;
+use mgw_fleet::share::{self, FAN_OUT, Share};
+use rand::seq::SliceRandom;
+use tokio::net::UdpSocket;
+
+use crate::clock;
+use crate::forward::AVOID_STALLED;
+use crate::gate::{Gate, State};
+
+/// Takes datagrams for as long as the process runs.
+pub async fn receive(gate: Rc<Gate>, socket: Rc<UdpSocket>) {
+    let mut bytes = [0; share::LIMIT];
+    loop {
+        let share = match socket.recv_from(&mut bytes).await {
+            Ok((size, _)) => share::decode(&bytes[..size]),
+            Err(_) => {
+                // Such as a refusal by a peer that has ended.
+                gate.count("share", "receive_error");
+                continue;
+            }
+        };
+        match share {
+            Some(share) => gate.with(|state| take(state, share)),
+            None => gate.count("share", "malformed"),
+        }
+    }
+}
+
+fn take(state: &mut State, share: Share) {
+    let now = clock::now();
+    for target in &share.stalled {
+        let found = state.roster.iter().find(|(_, server)| share::target(&server.id) == *target);
+        let Some((id, name)) = found.map(|(id, server)| (id, server.id.clone())) else { continue };
+        if let Some(load) = state.roster.load_mut(id) {
+            load.avoid(now + AVOID_STALLED);
+        }
+        if let Some(planner) = state.leading() {
+            planner.suspect(&name, now);
+        }
+    }
+    state.shares.take(share, now);
+}
+
+/// Sends this entry's counts to the others.
+pub fn send(gate: &Gate, socket: &UdpSocket, sequence: u64) {
+    let port = gate.settings.metrics.port();
+    let (share, peers) = gate.with(|state| {
+        let share = Share {
+            sender: gate.incarnation,
+            sequence,
+            counts: counts(state),
+            stalled: state.stalled.clone(),
+        };
+        let own = gate.settings.callers.to_string();
+        let mut peers: Vec<SocketAddr> = state
+            .entries
+            .serving()
+            .filter(|(_, it)| it.beat.callers != own && it.beat.phase == Phase::Serving)
+            .filter_map(|(_, it)| share::address(&it.beat.callers, port)?.parse().ok())
+            .collect();
+        if peers.len() > FAN_OUT {
+            peers.partial_shuffle(&mut state.random, FAN_OUT);
+            peers.truncate(FAN_OUT);
+        }
+        (share, peers)
+    });
+    let Ok(bytes) = share::encode(&share) else {
+        return gate.count("share", "encode_error");
+    };
+    if bytes.len() > share::LIMIT {
+        return gate.count("share", "too_large");
+    }
+    for peer in peers {
+        // A full buffer or an unreachable peer loses this round only.
+        if socket.try_send_to(&bytes, peer).is_err() {
+            gate.count("share", "send_error");
+        }
+    }
+}
+
+fn counts(state: &State) -> Vec<(u64, u16)> {
+    let mut counts: Map<u64, u16> = Map::default();
+    for (_, server) in state.roster.iter() {
+        let in_flight = server.load.in_flight;
+        if in_flight > 0 {
+            counts.insert(share::target(&server.id), in_flight.min(u32::from(u16::MAX)) as u16);
+        }
+    }
+    counts.iter().map(|(target, count)| (*target, *count)).collect()
+}
--- a/crates/mgw-gateway/src/tick.rs
+++ b/crates/mgw-gateway/src/tick.rs
@@ -8,10 +8,13 @@
 use mgw_event::Kind;
 use mgw_event::event::Body;
 use mgw_fleet::entry::Phase;
+use mgw_fleet::share::target;
+use tokio::net::UdpSocket;
 
 use crate::clock;
 use crate::forward::AVOID_STALLED;
 use crate::gate::Gate;
+use crate::share;
 
 /// Period of the watch over requests in flight.
 const WATCH: Duration = Duration::from_millis(50);
@@ -19,6 +22,9 @@
 /// Period of the check of the phase and of the writing of log lines.
 const CONTROL: Duration = Duration::from_millis(200);
 
+/// Period of datagrams with counts to the other entries.
+const SHARE: Duration = Duration::from_millis(100);
+
 /// Period of what only frees memory.
 const CLEAN: Duration = Duration::from_secs(1);
 
@@ -28,15 +34,18 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Topic {
     Watch,
+    Share,
     Control,
     Clean,
 }
 
 /// Runs for as long as the process does.
-pub async fn run(gate: Rc<Gate>) {
+pub async fn run(gate: Rc<Gate>, socket: Rc<UdpSocket>) {
+    let mut sequence = 0;
     let mut timers = timer::Service::default();
     let start = clock::now();
     timers.every(start, WATCH, Topic::Watch);
+    timers.every(start, SHARE, Topic::Share);
     timers.every(start, CONTROL, Topic::Control);
     timers.every(start, CLEAN, Topic::Clean);
     loop {
@@ -44,6 +53,10 @@
         while let Some(topic) = timers.pop(now) {
             match topic {
                 Topic::Watch => watch(&gate, now),
+                Topic::Share => {
+                    sequence += 1;
+                    share::send(&gate, &socket, sequence);
+                }
                 Topic::Control => control(&gate, now),
                 Topic::Clean => clean(&gate, now),
             }
@@ -60,11 +73,14 @@
             let text = format!("{} ms", pause.as_millis());
             state.journal.record(Body::new(Kind::ProcessPaused).text(text));
         }
-        for target in stalled {
-            let Some(server) = state.roster.get(target) else { continue };
+        let server = |id| state.roster.get(id).map(|server| target(&server.id));
+        state.stalled = stalled.iter().filter_map(|id| server(*id)).collect();
+        state.shares.tick(now);
+        for id in stalled {
+            let Some(server) = state.roster.get(id) else { continue };
             let name = server.id.clone();
             let is_new = !server.load.is_avoided(now);
-            if let Some(load) = state.roster.load_mut(target) {
+            if let Some(load) = state.roster.load_mut(id) {
                 load.avoid(now + AVOID_STALLED);
             }
             if let Some(planner) = state.leading() {
