--- a/crates/mgw-fleet/src/plan.rs
+++ b/crates/mgw-fleet/src/plan.rs
@@ -116,8 +116,6 @@
     staging: Map<SmolStr, Staging>,
     /// Epochs of groups that are to be closed for the sake of another model.
     closing: Vec<u64>,
-    /// When a group last gave way.
-    gave_way: Option<Instant>,
     notes: Vec<Note>,
 }
 
@@ -156,7 +154,6 @@
             loads: Vec::new(),
             staging: Map::default(),
             closing: Vec::new(),
-            gave_way: None,
             notes: Vec::new(),
         }
     }
--- a/crates/mgw-fleet/src/plan/form.rs
+++ b/crates/mgw-fleet/src/plan/form.rs
@@ -19,10 +19,7 @@
 
 /// A group gives way to one of another model only if the other model's supply, in relation to the
 /// need, is below this part of its own.
-const GIVE_WAY: f64 = 0.75;
-
-/// Least time between two groups that give way, so that the effect of the first is seen.
-const GIVE_WAY_PAUSE: Duration = Duration::from_secs(2);
+const GIVE_WAY: f64 = 0.9;
 
 /// What an instance needs before it can be a member.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -59,11 +56,28 @@
 
 impl Planner {
     /// Forms groups while free instances and the weight store's limits allow.
+    ///
+    /// The model that lacks most comes first: from free instances, or by closing groups of a model
+    /// with ample supply in one domain. Only instances that do not help it are used for others.
     pub(super) fn fill(&mut self, view: &View<'_>, actions: &mut Vec<Action>) {
         self.loads.retain(|at| view.now.since(*at) < LOAD_WINDOW);
         for (service, settings) in view.config.services.iter() {
             let Some(engine) = &settings.engine else { continue };
-            while let Some(intent) = self.next_group(service, engine, view) {
+            loop {
+                let free = self.free(service, view);
+                let models = self.by_need(service, engine, view);
+                let first =
+                    models.first().and_then(|it| self.formed(service, engine, it, &free, view));
+                let intent = match first {
+                    Some(intent) => Some(intent),
+                    None if self.give_way(service, &models, &free, view) => continue,
+                    None => {
+                        let free = self.unreserved(free, view);
+                        let mut others = models.iter().skip(1);
+                        others.find_map(|it| self.formed(service, engine, it, &free, view))
+                    }
+                };
+                let Some(intent) = intent else { break };
                 let servers = intent.members.iter().filter_map(|it| view.roster.by_id(&it.id));
                 actions.extend(servers.map(|server| command(server, intent.join())));
                 let names: Vec<&str> = intent.members.iter().map(|it| it.id.as_str()).collect();
@@ -71,27 +85,25 @@
                 self.note(&intent.name.clone(), text);
                 self.intents.push(intent);
             }
-            self.give_way(service, engine, view);
         }
     }
 
-    fn next_group(
+    /// A new group of `model` on free instances.
+    fn formed(
         &mut self,
         service: &SmolStr,
         engine: &Engine,
+        model: &Model,
+        free: &Free<'_>,
         view: &View<'_>,
     ) -> Option<Intent> {
-        let free = self.free(service, view);
         // Once requests come, instances load in the background and join when they are warm, so
         // that warm ones need not wait for them.
         let room = match view.quiet {
             Some(_) => self.load_room(engine, view),
             None => 0,
         };
-        let (model, site) = self
-            .by_need(service, engine, view.demand)
-            .into_iter()
-            .find_map(|model| Some((model, site(&free, model, room)?)))?;
+        let site = site(free, model, room)?;
         let members = site
             .members
             .iter()
@@ -102,15 +114,27 @@
         Some(Intent::joining(service, epoch, &model.name, members, view.now))
     }
 
+    /// Free instances outside the domains where groups close for the sake of another model.
+    fn unreserved<'a>(&self, mut free: Free<'a>, view: &View<'_>) -> Free<'a> {
+        let reserved: Vec<SmolStr> = self
+            .intents
+            .iter()
+            .filter(|intent| self.closing.contains(&intent.epoch))
+            .filter_map(|intent| domain(intent, view))
+            .collect();
+        free.retain(|domain, _| !reserved.contains(domain));
+        free
+    }
+
     /// The models, the one with the least supply for its need first.
     pub(super) fn by_need<'a>(
         &self,
         service: &SmolStr,
         engine: &'a Engine,
-        demand: &Demand,
+        view: &View<'_>,
     ) -> Vec<&'a Model> {
         let mut models: Vec<&Model> = engine.models.iter().collect();
-        let cover = |model: &Model| self.cover(service, model, demand, 0.0);
+        let cover = |model: &Model| self.cover(service, model, view.demand, 0.0);
         models.sort_by(|one, other| cover(one).total_cmp(&cover(other)));
         models
     }
@@ -156,9 +180,11 @@
         let joins = joining
             .flat_map(|intent| intent.members.iter().map(move |member| (intent, member)))
             .filter(|(intent, member)| {
-                let seat = view.roster.by_id(&member.id).and_then(|it| it.record.seat());
-                seat.filter(|seat| seat.group == intent.name)
-                    .is_none_or(|seat| seat.stage == Stage::Joining)
+                let Some(server) = view.roster.by_id(&member.id) else { return false };
+                let model = engine.model(&intent.model);
+                let lacks = model.is_some_and(|model| effort(server, model) == Effort::Load);
+                let seat = server.record.seat().filter(|seat| seat.group == intent.name);
+                lacks && seat.is_none_or(|seat| seat.stage == Stage::Joining)
             })
             .count();
         let loading = joins + self.staging.len();
@@ -180,34 +206,31 @@
             .count()
     }
 
-    /// Closes groups of a model with ample supply where their members, with free instances, can
-    /// form a group of the model that lacks most.
-    fn give_way(&mut self, service: &SmolStr, engine: &Engine, view: &View<'_>) {
-        let is_settling = self.gave_way.is_some_and(|at| view.now.since(at) < GIVE_WAY_PAUSE);
-        if view.quiet.is_some() || is_settling {
-            return;
-        }
-        let models = self.by_need(service, engine, view.demand);
-        let (Some(poor), Some(rich)) = (models.first(), models.last()) else { return };
-        if poor.name == rich.name {
-            return;
+    /// Marks groups of the model with most supply for closing, where their members, with free
+    /// instances, can form a group of the model that lacks most. Returns whether it did.
+    fn give_way(
+        &mut self,
+        service: &SmolStr,
+        models: &[&Model],
+        free: &Free<'_>,
+        view: &View<'_>,
+    ) -> bool {
+        let (Some(poor), Some(rich)) = (models.first(), models.last()) else { return false };
+        let is_pending = self.intents.iter().any(|it| self.closing.contains(&it.epoch));
+        if view.quiet.is_some() || is_pending || poor.name == rich.name {
+            return false;
         }
-        let free = self.free(service, view);
-        let best = free
-            .iter()
-            .map(|(domain, _)| domain.clone())
-            .chain(self.domains(service, view))
-            .filter_map(|domain| self.donors(&domain, &free, poor, rich, view))
+        let domains = self.domains(service, view).into_iter();
+        let best = domains
+            .filter_map(|domain| self.donors(&domain, free, poor, rich, view))
             .min_by_key(Vec::len);
-        let Some(donors) = best else { return };
+        let Some(donors) = best else { return false };
         let after = self.cover(service, rich, view.demand, -(donors.len() as f64));
         if self.cover(service, poor, view.demand, 0.0) >= after * GIVE_WAY {
-            return;
-        }
-        self.gave_way = Some(view.now);
-        for epoch in donors {
-            self.closing.push(epoch);
+            return false;
         }
+        self.closing.extend(donors);
+        true
     }
 
     fn domains(&self, service: &SmolStr, view: &View<'_>) -> Vec<SmolStr> {
@@ -278,3 +301,9 @@
         .filter(|site| site.loads <= room)
         .min_by_key(|site| (site.effort, site.rest))
 }
+
+/// The domain of a group's head.
+fn domain(intent: &Intent, view: &View<'_>) -> Option<SmolStr> {
+    let head = view.roster.by_id(&intent.members.first()?.id)?;
+    Some(head.record.engine.as_ref()?.domain.clone())
+}
--- a/crates/mgw-fleet/src/plan/intent.rs
+++ b/crates/mgw-fleet/src/plan/intent.rs
@@ -14,7 +14,7 @@
 const HEAD_STALL: Duration = Duration::from_millis(4_500);
 
 /// Time that requests of a group get to end when a member leaves.
-const DRAIN: Duration = Duration::from_secs(3);
+const DRAIN: Duration = Duration::from_millis(1_800);
 
 /// Time beyond the expected one after which a join is given up.
 const JOIN_SLACK: Duration = Duration::from_secs(8);
--- a/crates/mgw-fleet/src/plan/stage.rs
+++ b/crates/mgw-fleet/src/plan/stage.rs
@@ -72,7 +72,7 @@
         engine: &'a Engine,
         view: &View<'a>,
     ) -> Vec<(Urgency, &'a Server, &'a Model)> {
-        let models = self.by_need(service, engine, view.demand);
+        let models = self.by_need(service, engine, view);
         let rich = models.last().map(|model| model.name.clone());
         let free = self.free(service, view);
         let servers = view.roster.iter().map(|(_, server)| server).filter(|server| {
