plan: wait for heads that are listed late; forward: a request that all servers refused is refused

Members of an unlisted head now leave it first, and a head that returns is adopted again. A test of the gateway found that a booking which every server had refused was answered 502.

--- a/crates/mgw-fleet/src/plan/form.rs
+++ b/crates/mgw-fleet/src/plan/form.rs
@@ -148,12 +148,14 @@
     /// Free instances, without those whose weights are on their way.
     pub(super) fn free<'a>(&self, service: &SmolStr, view: &View<'a>) -> Free<'a> {
         let mut domains: Free<'a> = Map::default();
+        let serving = self.serving_epochs(view);
         for (_, server) in view.roster.iter() {
             let record = &server.record;
             let is_free = record.service == *service
                 && record.phase == roster::Phase::Ready
                 && server.missing.is_none()
                 && !self.watch.is_lost(&server.id)
+                && !record.seat().is_some_and(|seat| serving.contains(&seat.epoch))
                 && !self.is_taken(server);
             match &record.engine {
                 Some(engine) if is_free => {
@@ -165,6 +167,16 @@
         domains
     }
 
+    /// Epochs of the groups whose heads report that they serve, whoever formed them.
+    fn serving_epochs(&self, view: &View<'_>) -> Vec<u64> {
+        let heads = view.roster.iter().filter(|(_, server)| !self.watch.is_lost(&server.id));
+        heads
+            .filter_map(|(_, server)| server.record.head_seat())
+            .filter(|seat| matches!(seat.stage, Stage::Open | Stage::Closing))
+            .map(|seat| seat.epoch)
+            .collect()
+    }
+
     fn is_taken(&self, server: &Server) -> bool {
         self.intents.iter().any(|intent| {
             intent
--- a/crates/mgw-fleet/src/plan/intent.rs
+++ b/crates/mgw-fleet/src/plan/intent.rs
@@ -13,6 +13,9 @@
 /// lives without contact notices a lost member after 4 s of standing still.
 const HEAD_STALL: Duration = Duration::from_millis(4_500);
 
+/// Time after an outage of the store within which live servers are listed again.
+const RELIST: Duration = Duration::from_millis(2_300);
+
 /// Time that requests of a group get to end when a member leaves.
 const DRAIN: Duration = Duration::from_millis(1_800);
 
@@ -45,6 +48,8 @@
         /// Whether requests that run are cut off.
         cut: bool,
     },
+    /// The head is not listed, as may happen for a while after an outage of the store.
+    Headless,
     /// The head is out of reach and may still serve; its members have left it.
     Abandoned,
 }
@@ -63,6 +68,8 @@
     /// Members in the order of their ranks. Fewer than the model's size if some were lost before
     /// this planner took over.
     pub members: Vec<Member>,
+    /// Whether the first member is the head.
+    has_head: bool,
     /// Progress.
     pub phase: Phase,
     /// Since when it is in this phase.
@@ -76,6 +83,8 @@
     Keep,
     Enter(Phase, SmolStr),
     Release(SmolStr),
+    /// The group is to be adopted anew, as its head is back.
+    Forget,
 }
 
 impl Intent {
@@ -92,12 +101,18 @@
             epoch,
             model: model.clone(),
             members,
+            has_head: true,
             phase: Phase::Joining,
             since: now,
             ordered: now,
         }
     }
 
+    /// The head, if it is known.
+    pub(super) fn head(&self) -> Option<&Member> {
+        self.members.first().filter(|_| self.has_head)
+    }
+
     /// The order that makes an instance a member.
     pub(super) fn join(&self) -> Order {
         Order::Join {
@@ -169,6 +184,10 @@
                     self.announce(intent, view, actions);
                     true
                 }
+                Fate::Forget => {
+                    self.note(&intent.name, "the head is back");
+                    false
+                }
                 Fate::Release(cause) => {
                     self.note(&intent.name, format_smolstr!("released: {cause}"));
                     self.closing.retain(|epoch| *epoch != intent.epoch);
@@ -205,7 +224,7 @@
             intent.members.iter().filter_map(|member| self.live(member, roster)).collect();
         let is_whole = live.len() == model.size;
         let leaves = live.iter().any(|server| server.record.phase == roster::Phase::Draining);
-        let head = intent.members.first().and_then(|member| self.live(member, roster));
+        let head = intent.head().and_then(|member| self.live(member, roster));
         let stage = head.and_then(|head| intent.stage(head));
         let waited = now.since(intent.since);
         match (intent.phase, stage) {
@@ -230,7 +249,7 @@
                 Fate::Keep
             }
             (Phase::Open | Phase::Closing { .. }, _) if head.is_none() => {
-                let is_ended = intent.members.first().is_none_or(|it| self.has_ended(it, roster));
+                let is_ended = intent.head().is_some_and(|it| self.has_ended(it, roster));
                 match is_ended {
                     true => Fate::Release("the head's process ended".into()),
                     false => Fate::Enter(Phase::Abandoned, "the head is out of reach".into()),
@@ -263,8 +282,14 @@
                 self.resend(intent, head, intent.close(cut), now, actions);
                 Fate::Keep
             }
+            (Phase::Headless, _) if self.serving_head(intent, roster).is_some() => Fate::Forget,
+            (Phase::Headless, _) if waited > RELIST => {
+                Fate::Enter(Phase::Abandoned, "the head is not listed again".into())
+            }
+            (Phase::Headless, _) => Fate::Keep,
+            (Phase::Abandoned, _) if self.serving_head(intent, roster).is_some() => Fate::Forget,
             (Phase::Abandoned, _) => {
-                let is_ended = intent.members.first().is_none_or(|it| self.has_ended(it, roster));
+                let is_ended = intent.head().is_some_and(|it| self.has_ended(it, roster));
                 match is_ended || waited > HEAD_STALL {
                     true => Fate::Release("the head cannot serve any more".into()),
                     false => Fate::Keep,
@@ -297,6 +322,16 @@
         Fate::Keep
     }
 
+    /// The head of a group that serves although the planner does not follow it there.
+    fn serving_head<'a>(&self, intent: &Intent, roster: &'a Roster) -> Option<&'a Server> {
+        let serves = |stage| matches!(stage, Stage::Open | Stage::Closing);
+        let mut servers = roster.iter().map(|(_, server)| server);
+        servers.find(|server| {
+            let seat = server.record.head_seat().filter(|seat| intent.holds(seat));
+            seat.is_some_and(|seat| serves(seat.stage)) && !self.watch.is_lost(&server.id)
+        })
+    }
+
     /// Whether the process of a member has ended for certain.
     fn has_ended(&self, member: &Member, roster: &Roster) -> bool {
         let is_reborn =
@@ -308,18 +343,19 @@
     fn announce(&self, intent: &mut Intent, view: &View<'_>, actions: &mut Vec<Action>) {
         let roster = view.roster;
         intent.ordered = view.now;
-        let head = intent.members.first().and_then(|member| self.live(member, roster));
+        let head = intent.head().and_then(|member| self.live(member, roster));
         let order = match intent.phase {
             Phase::Opening => intent.open(),
             Phase::Closing { cut } => intent.close(cut),
             Phase::Abandoned => {
-                let others = intent.members.iter().skip(1);
-                let live = others.filter_map(|member| self.live(member, roster));
-                let seated = live.filter(|server| intent.stage(server).is_some());
+                let live = intent.members.iter().filter_map(|member| self.live(member, roster));
+                let seated = live.filter(|server| {
+                    server.record.seat().is_some_and(|seat| intent.holds(seat) && seat.rank > 0)
+                });
                 actions.extend(seated.map(|server| command(server, intent.leave())));
                 return;
             }
-            Phase::Joining | Phase::Open => return,
+            Phase::Joining | Phase::Open | Phase::Headless => return,
         };
         actions.extend(head.map(|head| command(head, order)));
     }
@@ -363,7 +399,7 @@
         Some(Stage::Closing) => Phase::Closing { cut: true },
         Some(Stage::Joining | Stage::Ready) if is_whole => Phase::Joining,
         Some(_) => return None,
-        None => Phase::Abandoned,
+        None => Phase::Headless,
     };
     let member =
         |(_, server): &(usize, &Server)| Member { id: server.id.clone(), born: server.record.born };
@@ -373,6 +409,7 @@
         epoch: seat.epoch,
         model,
         members: members.iter().map(member).collect(),
+        has_head: head.is_some(),
         phase,
         since: now,
         ordered: now,
--- /dev/null
+++ b/crates/mgw-fleet/tests/entry.rs
@@ -0,0 +1,117 @@
+//! Entries, the planner's role and the freshness of knowledge.
+
+mod common;
+
+use std::time::Duration;
+
+use common::at;
+use mgw_fleet::entry::{
+    Beat, Duty, LEAD_KEY, Lead, Phase, Record, Table, beat_key, decode, encode,
+};
+use mgw_fleet::fresh::Proof;
+
+fn beat(incarnation: u64, phase: Phase) -> Record {
+    Record::Beat(Beat {
+        incarnation,
+        callers: "10.0.0.1:80".into(),
+        zone: "a".into(),
+        region: "r".into(),
+        phase,
+        blames: Vec::new(),
+    })
+}
+
+fn lead(entry: &str, incarnation: u64) -> Record {
+    Record::Lead(Lead { entry: entry.into(), incarnation })
+}
+
+/// A table that heard `a` and `b` at 1,000 ms.
+fn table() -> Table {
+    let mut table = Table::default();
+    table.take(&beat_key("a"), 1, beat(1, Phase::Serving), at(1_000));
+    table.take(&beat_key("b"), 2, beat(2, Phase::Serving), at(1_000));
+    table.note_read(at(1_000));
+    table
+}
+
+/// Guards against two planners: only the entry that the newest record names has the role.
+#[test]
+fn the_newest_record_names_the_planner() {
+    let mut table = table();
+    table.take(LEAD_KEY, 3, lead("a", 1), at(1_000));
+    assert_eq!(table.duty("a", 1, at(1_100)), Duty::Lead { term: 3 });
+    assert_eq!(table.duty("b", 2, at(1_100)), Duty::Follow);
+    table.take(LEAD_KEY, 5, lead("b", 2), at(1_200));
+    assert_eq!(table.duty("a", 1, at(1_300)), Duty::Follow);
+    assert_eq!(table.duty("b", 2, at(1_300)), Duty::Lead { term: 5 });
+}
+
+/// Guards against orders of a planner that has not read the records for so long that another entry
+/// may have taken the role.
+#[test]
+fn a_planner_with_old_knowledge_gives_no_orders() {
+    let mut table = table();
+    table.take(LEAD_KEY, 3, lead("a", 1), at(1_000));
+    assert_eq!(table.duty("a", 1, at(3_600)), Duty::Follow);
+}
+
+/// Guards against a role that a restarted process takes for its own.
+#[test]
+fn a_restarted_planner_has_no_role() {
+    let mut table = table();
+    table.take(LEAD_KEY, 3, lead("a", 1), at(1_000));
+    table.take(&beat_key("a"), 4, beat(9, Phase::Serving), at(1_100));
+    table.note_read(at(1_100));
+    assert_ne!(table.duty("a", 9, at(1_200)), Duty::Lead { term: 3 });
+}
+
+/// Guards against a fleet without planner after the loss of its holder, and against all entries
+/// applying at once.
+#[test]
+fn candidates_apply_one_after_the_other() {
+    let mut table = table();
+    assert_eq!(table.duty("a", 1, at(1_000)), Duty::Apply);
+    assert_eq!(table.duty("b", 2, at(1_000)), Duty::Follow);
+    table.note_read(at(1_400));
+    assert_eq!(table.duty("b", 2, at(1_400)), Duty::Apply);
+}
+
+/// Guards against a directory that names entries which have ended, and one that is empty because
+/// the store could not be read.
+#[test]
+fn silence_counts_only_while_the_store_is_read() {
+    let mut table = table();
+    for ms in [2_000, 3_000, 4_000] {
+        table.take(&beat_key("b"), ms, beat(2, Phase::Serving), at(ms));
+        table.note_read(at(ms));
+    }
+    table.note_read(at(4_500));
+    let names: Vec<_> = table.serving().map(|(name, _)| name.as_str()).collect();
+    assert_eq!(names, ["b"]);
+    table.note_read(at(60_000));
+    let names: Vec<_> = table.serving().map(|(name, _)| name.as_str()).collect();
+    assert_eq!(names, ["a", "b"], "nobody could be heard during the outage");
+}
+
+/// Guards against records of other writers that are taken for ours.
+#[test]
+fn reads_only_its_own_encoding() {
+    let bytes = encode(&beat(1, Phase::Serving)).expect("encodes");
+    assert_eq!(decode(&bytes), Some(beat(1, Phase::Serving)));
+    assert_eq!(decode(&bytes[..bytes.len() - 1]), None);
+    assert_eq!(decode(&[9, 1, 2]), None);
+    assert_eq!(decode(&[]), None);
+}
+
+/// Guards against keys that are trusted longer than a revocation may take.
+#[test]
+fn keys_are_trusted_for_a_bounded_time() {
+    let bound = Duration::from_secs(5);
+    let mut proof = Proof::default();
+    assert!(!proof.covers_keys(bound, at(0)));
+    proof.renew(at(1_000));
+    assert!(proof.covers_keys(bound, at(5_400)));
+    assert!(!proof.covers_keys(bound, at(5_600)));
+    proof.renew(at(500));
+    assert!(proof.covers_keys(bound, at(5_400)), "an older proof changes nothing");
+}
--- a/crates/mgw-fleet/tests/plan.rs
+++ b/crates/mgw-fleet/tests/plan.rs
@@ -134,3 +134,45 @@
     world.run(&mut planner, 10_000);
     assert!(world.open(LARGE).len() > before, "{before} before");
 }
+
+/// Guards against a head in two groups: after an outage of the store a new planner sees some
+/// members before their heads, which are listed a moment later and still serve (seen as an
+/// instance that joined while its group was open).
+#[test]
+fn waits_for_heads_that_are_listed_late() {
+    let mut world = World::new(1, 4);
+    world.demand.insert(("engines".into(), SMALL.into()), 0.0);
+    world.run(&mut Planner::new(5), 2_000);
+    let group = world.open(LARGE).first().cloned().expect("a group");
+    let head = world.members(&group)[0].clone();
+    world.roster.remove(&head, world.now);
+    world.silent.push(head.clone());
+    world.orders.clear();
+    let mut next = Planner::new(9);
+    world.run(&mut next, 1_500);
+    assert!(world.orders.is_empty(), "{:?}", world.orders);
+    world.silent.clear();
+    world.run(&mut next, 9_000);
+    assert!(world.orders.is_empty(), "{:?}", world.orders);
+    assert_eq!(world.open(LARGE), [group]);
+}
+
+/// Guards against members that are taken from a head which is cut off from the store and serves.
+#[test]
+fn members_leave_a_head_that_is_not_listed() {
+    let mut world = World::new(1, 4);
+    world.demand.insert(("engines".into(), SMALL.into()), 0.0);
+    world.run(&mut Planner::new(5), 2_000);
+    let group = world.open(LARGE).first().cloned().expect("a group");
+    let head = world.members(&group)[0].clone();
+    world.roster.remove(&head, world.now);
+    world.silent.push(head);
+    world.orders.clear();
+    let mut next = Planner::new(9);
+    world.run(&mut next, 6_000);
+    let is_leave = |order: &Order| matches!(order, Order::Leave { .. });
+    assert_eq!(world.orders.iter().filter(|it| is_leave(&it.order)).count(), 3);
+    assert_eq!(world.orders.len(), 3, "no join before the head must have noticed");
+    world.run(&mut next, 3_000);
+    assert!(world.orders.len() > 3, "the survivors are used again");
+}
--- /dev/null
+++ b/crates/mgw-fleet/tests/roster.rs
@@ -0,0 +1,78 @@
+//! The list of servers through outages of the store, and groups in it.
+
+mod common;
+
+use common::{World, at, config, record};
+use mgw_fleet::group;
+use mgw_fleet::plan::Planner;
+use mgw_fleet::roster::{Phase, Roster};
+
+/// Guards against servers that are dropped because the store could not hear them.
+#[test]
+fn entries_that_lapse_in_an_outage_get_time_to_return() {
+    let mut roster = Roster::default();
+    roster.upsert("a", record(0), at(0));
+    roster.upsert("b", record(0), at(0));
+    roster.note_outage(at(1_000));
+    roster.remove("a", at(1_500));
+    roster.remove("b", at(1_500));
+    assert_eq!(roster.len(), 2);
+    roster.upsert("a", record(0), at(2_000));
+    roster.tick(at(3_300));
+    assert!(roster.by_id("a").is_some(), "it is listed again");
+    assert!(roster.by_id("b").is_none(), "it is still missing");
+}
+
+/// Guards against requests to a server whose entry was removed while the store is sound.
+#[test]
+fn a_removed_server_is_gone_at_once() {
+    let mut roster = Roster::default();
+    roster.upsert("a", record(0), at(0));
+    roster.remove("a", at(100));
+    assert!(roster.is_empty());
+}
+
+/// Guards against a server that leaves and is kept because of an outage.
+#[test]
+fn a_draining_server_is_gone_at_once() {
+    let mut roster = Roster::default();
+    let draining = mgw_fleet::roster::Record { phase: Phase::Draining, ..record(0) };
+    roster.upsert("a", draining, at(0));
+    roster.note_outage(at(50));
+    roster.remove("a", at(100));
+    assert!(roster.is_empty());
+}
+
+/// Guards against load and seats of an earlier process under the same id, and against its late
+/// heartbeats.
+#[test]
+fn a_reborn_server_is_another_one() {
+    let mut roster = Roster::default();
+    roster.upsert("a", record(0), at(0));
+    let first = roster.find("a").expect("listed");
+    let reborn = mgw_fleet::roster::Record { born: 2, ..record(0) };
+    assert!(roster.upsert("a", reborn, at(100)));
+    assert!(roster.get(first).is_none(), "keys of the earlier process are dead");
+    roster.upsert("a", record(0), at(200));
+    assert_eq!(roster.by_id("a").map(|server| server.record.born), Some(2));
+}
+
+/// Guards against requests to a group that lacks a member, or whose member leaves.
+#[test]
+fn a_group_serves_only_whole() {
+    let mut world = World::new(1, 4);
+    let mut planner = Planner::new(5);
+    world.run(&mut planner, 2_000);
+    world.publish();
+    let groups = group::table(&world.roster, &config());
+    assert_eq!(groups.iter().filter(|group| group.is_servable).count(), 1);
+    let member = world.roster.get(groups[0].members[2]).expect("a member").id.clone();
+    let leaving = mgw_fleet::roster::Record {
+        phase: Phase::Draining,
+        ..world.records.get(&member).expect("a record").clone()
+    };
+    world.roster.upsert(&member, leaving, world.now);
+    assert!(group::table(&world.roster, &config()).iter().all(|group| !group.is_servable));
+    world.roster.remove(&member, world.now);
+    assert!(group::table(&world.roster, &config()).iter().all(|group| !group.is_servable));
+}
--- a/crates/mgw-gateway/src/forward.rs
+++ b/crates/mgw-gateway/src/forward.rs
@@ -123,6 +123,8 @@
     connects: usize,
     /// Whether a server may have run it.
     may_have_run: bool,
+    /// Whether any byte of it was sent in the present attempt.
+    is_sent: bool,
     /// Whether the next attempt was drawn from the retry budget.
     is_drawn: bool,
     splitter: Splitter,
@@ -256,6 +258,7 @@
         attempts: 0,
         connects: 0,
         may_have_run: false,
+        is_sent: false,
         is_drawn: false,
         splitter: Splitter::default(),
         is_started: false,
@@ -310,6 +313,7 @@
                     let is_worth_retry = response.status >= 500
                         && response.status != 504
                         && self.route().kind == Kind::Idempotent;
+                    self.may_have_run = true;
                     if is_worth_retry && self.may_retry(Fault::Broken) {
                         self.spare = Some((response, body));
                         continue;
@@ -423,6 +427,7 @@
             }
         });
         self.tried.push(target.id);
+        self.is_sent = false;
         let result = self.exchange(caller, target).await;
         self.watch(None, Wait::Nothing, FOREVER);
         self.gate.with(|state| {
@@ -514,7 +519,7 @@
         connection: &mut Connection,
         output: &[u8],
     ) -> Result<bool, Fault> {
-        self.may_have_run = true;
+        self.is_sent = true;
         self.wait(caller, connection.send(output)).await?.map_err(|_| Fault::Broken)
     }
 
@@ -770,9 +775,7 @@
 
     /// Takes note of a fault of a server.
     fn note_fault(&mut self, target: &Target, fault: Fault) {
-        if !fault.may_have_run() && self.attempts <= 1 {
-            self.may_have_run = false;
-        }
+        self.may_have_run |= self.is_sent && fault.may_have_run();
         let now = clock::now();
         self.splitter.drop_partial();
         self.gate.with(|state| {
--- /dev/null
+++ b/crates/mgw-http/tests/head.rs
@@ -0,0 +1,86 @@
+//! Heads: what is a request, and which bodies are ambiguous.
+
+use bytes::BytesMut;
+use mgw_http::Error;
+use mgw_http::body::Framing;
+use mgw_http::head;
+
+const LIMIT: usize = 1_024;
+
+fn request(text: &str) -> Result<Option<head::Request>, Error> {
+    head::request(&mut BytesMut::from(text), LIMIT)
+}
+
+fn response(text: &str) -> Result<Option<head::Response>, Error> {
+    head::response(&mut BytesMut::from(text), LIMIT)
+}
+
+/// Guards against bytes after the head that are lost or read as part of it.
+#[test]
+fn leaves_what_follows_the_head() {
+    let mut input =
+        BytesMut::from("POST /a/b?c HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabcGET");
+    let request = head::request(&mut input, LIMIT).expect("valid").expect("whole");
+    assert_eq!((request.method(), request.target(), request.path()), ("POST", "/a/b?c", "/a/b"));
+    assert_eq!(request.framing, Framing::Length(3));
+    assert_eq!(&input[..], b"abcGET");
+}
+
+/// Guards against a head that is taken before it is whole.
+#[test]
+fn waits_for_the_rest_of_a_head() {
+    assert!(request("GET / HTTP/1.1\r\nHost: h\r\n").expect("no error").is_none());
+}
+
+/// Guards against request smuggling: a server must not see another end of the body.
+#[test]
+fn rejects_ambiguous_bodies() {
+    let both =
+        "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n";
+    let two = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\n";
+    let sign = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: +3\r\n\r\n";
+    let list = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3, 3\r\n\r\n";
+    let old = "POST / HTTP/1.0\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n";
+    for text in [both, two, sign, list, old] {
+        assert_eq!(request(text).err(), Some(Error::Framing), "{text}");
+    }
+    let coding = "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: gzip, chunked\r\n\r\n";
+    let twice =
+        "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: identity\r\n\r\n";
+    for text in [coding, twice] {
+        assert_eq!(request(text).err(), Some(Error::Coding), "{text}");
+    }
+    let space = "POST / HTTP/1.1\r\nContent-Length : 3\r\n\r\n";
+    assert_eq!(request(space).err(), Some(Error::Head));
+}
+
+/// Guards against memory that a caller fills with a head.
+#[test]
+fn rejects_large_heads() {
+    let long = format!("GET / HTTP/1.1\r\nA: {}", "a".repeat(LIMIT));
+    assert_eq!(request(&long).err(), Some(Error::HeadSize));
+    let many = format!("GET / HTTP/1.1\r\n{}\r\n", "a: b\r\n".repeat(120));
+    assert_eq!(request(&many).err(), Some(Error::HeadSize));
+}
+
+/// Guards against an answer without length that is taken as empty, or kept for another request.
+#[test]
+fn knows_bodies_that_end_with_the_connection() {
+    let response = response("HTTP/1.1 200 OK\r\n\r\n").expect("valid").expect("whole");
+    assert_eq!(response.framing, Framing::Close);
+    assert!(!response.keeps_alive());
+}
+
+/// Guards against a connection that is used again although the server announced its end.
+#[test]
+fn respects_connection_close() {
+    let text = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nConnection: foo, Close\r\n\r\n";
+    let response = response(text).expect("valid").expect("whole");
+    assert!(!response.keeps_alive());
+}
+
+/// Guards against bytes of a faulty server that pass as an answer.
+#[test]
+fn rejects_bytes_that_are_no_answer() {
+    assert_eq!(response("garbage\r\n\r\n").err(), Some(Error::Head));
+}
