leave: refuse late requests of a process that ends; faster repair of groups

Repair: members of changing groups are asked directly, the planner tells the others when groups change, stalls are told after 330 ms. An answer without records proves the configuration up to its own time, which keeps requests with keys served 1.5 s longer in an outage of the store.

--- a/crates/mgw-fleet/src/config.rs
+++ b/crates/mgw-fleet/src/config.rs
@@ -5,6 +5,9 @@
 use mgw_base::sorted::Map;
 use smol_str::SmolStr;
 
+/// How much more a prompt weighs than the time to read it: the group's other requests wait meanwhile.
+const READ_WEIGHT: f64 = 2.0;
+
 /// What may be repeated of a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Kind {
@@ -104,7 +107,7 @@
         let slots = f64::from(self.slots.max(1));
         let step = self.step.as_secs_f64() + self.step_per_request.as_secs_f64() * slots;
         let read = f64::from(prompt) / self.read_per_s.max(1.0);
-        (read + f64::from(answer) * step / slots) * model.pace
+        (read * READ_WEIGHT + f64::from(answer) * step / slots) * model.pace
     }
 
     /// The model called `name`.
--- a/crates/mgw-fleet/src/fresh.rs
+++ b/crates/mgw-fleet/src/fresh.rs
@@ -4,8 +4,8 @@
 
 use mgw_base::time::Instant;
 
-/// Time for a request to reach a server and be counted there, taken off the bound on revocation.
-const MARGIN: Duration = Duration::from_millis(500);
+/// Taken off the bound on revocation, for requests that are on their way.
+const MARGIN: Duration = Duration::from_millis(250);
 
 /// The newest proof that the configuration is current.
 #[derive(Clone, Copy, Debug, Default)]
--- a/crates/mgw-fleet/src/lib.rs
+++ b/crates/mgw-fleet/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod entry;
 pub mod fresh;
 pub mod group;
+pub mod leave;
 pub mod place;
 pub mod plan;
 pub mod roster;
--- a/crates/mgw-fleet/src/plan.rs
+++ b/crates/mgw-fleet/src/plan.rs
@@ -116,6 +116,8 @@
     staging: Map<SmolStr, Staging>,
     /// Epochs of groups that are to be closed for the sake of another model.
     closing: Vec<u64>,
+    /// Groups that opened or began to close.
+    moves: u64,
     notes: Vec<Note>,
 }
 
@@ -154,6 +156,7 @@
             loads: Vec::new(),
             staging: Map::default(),
             closing: Vec::new(),
+            moves: 0,
             notes: Vec::new(),
         }
     }
@@ -161,7 +164,7 @@
     /// A planner of the same term after a time in which another one may have planned. It knows
     /// nothing, but uses no epoch a second time: two groups with one name would be taken for one.
     pub fn renewed(&self) -> Self {
-        Self { next: self.next, ..Self::new(self.term) }
+        Self { next: self.next, moves: self.moves, ..Self::new(self.term) }
     }
 
     /// The term.
@@ -196,7 +199,8 @@
 
     /// Compares intentions with reports and returns what to do.
     pub fn tick(&mut self, view: &View<'_>) -> Vec<Action> {
-        let mut actions = self.watch.tick(view.roster, view.now);
+        let changing = self.changing();
+        let mut actions = self.watch.tick(view.roster, &changing, view.now);
         self.adopt(view);
         self.follow(view, &mut actions);
         self.fill(view, &mut actions);
@@ -204,6 +208,22 @@
         actions
     }
 
+    /// Members of groups that wait for the effect of an order, sorted.
+    fn changing(&self) -> Vec<SmolStr> {
+        let changes =
+            |phase: Phase| matches!(phase, Phase::Joining | Phase::Opening | Phase::Closing { .. });
+        let intents = self.intents.iter().filter(|intent| changes(intent.phase));
+        let members = intents.flat_map(|intent| intent.members.iter());
+        let mut members: Vec<SmolStr> = members.map(|member| member.id.clone()).collect();
+        members.sort_unstable();
+        members
+    }
+
+    /// The number of changes that the other entries should see soon.
+    pub fn moves(&self) -> u64 {
+        self.moves
+    }
+
     fn note<T>(&mut self, group: &SmolStr, text: T)
     where
         T: Into<SmolStr>,
--- a/crates/mgw-fleet/src/plan/intent.rs
+++ b/crates/mgw-fleet/src/plan/intent.rs
@@ -181,6 +181,8 @@
                 Fate::Enter(phase, cause) => {
                     self.note(&intent.name, format_smolstr!("{phase:?}: {cause}"));
                     (intent.phase, intent.since) = (phase, view.now);
+                    let is_seen = matches!(phase, Phase::Open | Phase::Closing { .. });
+                    self.moves += u64::from(is_seen);
                     self.announce(intent, view, actions);
                     true
                 }
--- a/crates/mgw-fleet/src/plan/watch.rs
+++ b/crates/mgw-fleet/src/plan/watch.rs
@@ -14,7 +14,7 @@
 const OVERDUE: Duration = Duration::from_millis(1_900);
 
 /// Time between two probes of an instance.
-const PROBE_GAP: Duration = Duration::from_millis(350);
+const PROBE_GAP: Duration = Duration::from_millis(250);
 
 /// Probes without an answer after which an instance counts as lost.
 const PROBES: u8 = 2;
@@ -83,19 +83,28 @@
     }
 
     /// The probes that are due.
-    pub(super) fn tick(&mut self, roster: &Roster, now: Instant) -> Vec<Action> {
+    ///
+    /// Instances of `changing` groups are asked each time, so that the next step is not delayed by
+    /// the list. A question costs less than a read of the list.
+    pub(super) fn tick(
+        &mut self,
+        roster: &Roster,
+        changing: &[SmolStr],
+        now: Instant,
+    ) -> Vec<Action> {
         self.instances.retain(|id, _| roster.by_id(id).is_some());
         let engines = roster.iter().filter(|(_, server)| server.record.engine.is_some());
         engines
             .filter_map(|(_, server)| {
                 let instance = self.instances.entry(server.id.clone(), Instance::default);
-                is_due(instance, server, now).then(|| Action::Probe(server.id.clone()))
+                let is_changing = changing.binary_search(&server.id).is_ok();
+                is_due(instance, server, is_changing, now).then(|| Action::Probe(server.id.clone()))
             })
             .collect()
     }
 }
 
-fn is_due(instance: &mut Instance, server: &Server, now: Instant) -> bool {
+fn is_due(instance: &mut Instance, server: &Server, is_changing: bool, now: Instant) -> bool {
     if instance.born != server.record.born {
         *instance = Instance { born: server.record.born, ..Instance::default() };
     }
@@ -109,7 +118,8 @@
         && instance.answered.is_none_or(|at| now.since(at) > SUSPICION);
     let is_waiting = instance.asked.is_some_and(|asked| now.since(asked) < PROBE_GAP);
     let is_unknown = server.orders.is_none();
-    let is_due = (is_late || is_suspected || is_unknown || instance.failed > 0) && !is_waiting;
+    let has_cause = is_late || is_suspected || is_unknown || is_changing || instance.failed > 0;
+    let is_due = has_cause && !is_waiting;
     if is_due {
         instance.asked = Some(now);
     }
--- a/crates/mgw-fleet/src/share.rs
+++ b/crates/mgw-fleet/src/share.rs
@@ -40,6 +40,9 @@
     pub counts: Vec<(u64, u16)>,
     /// Targets that stand still.
     pub stalled: Vec<u64>,
+    /// If the sender plans: its term and the number of groups that it opened or closed, so that the
+    /// others read the servers' entries at once.
+    pub moves: Option<(u64, u64)>,
 }
 
 /// The bytes of a datagram.
--- a/crates/mgw-fleet/tests/place.rs
+++ b/crates/mgw-fleet/tests/place.rs
@@ -97,6 +97,7 @@
         sequence,
         counts: vec![(target, count)],
         stalled: Vec::new(),
+        moves: None,
     };
     let mut table = Table::default();
     table.take(share(1, 2, 5), at(0));
@@ -110,7 +111,13 @@
 /// Guards against datagrams of other senders.
 #[test]
 fn reads_only_its_own_datagrams() {
-    let share = Share { sender: 1, sequence: 2, counts: vec![(3, 4)], stalled: vec![5] };
+    let share = Share {
+        sender: 1,
+        sequence: 2,
+        counts: vec![(3, 4)],
+        stalled: vec![5],
+        moves: Some((6, 7)),
+    };
     let bytes = share::encode(&share).expect("encodes");
     assert_eq!(share::decode(&bytes), Some(share));
     assert_eq!(share::decode(&bytes[1..]), None);
--- a/crates/mgw-gateway/src/flight.rs
+++ b/crates/mgw-gateway/src/flight.rs
@@ -56,7 +56,7 @@
 pub type Ticket = Key<Flight>;
 
 /// Time without progress of any stream of a group after which its members are probed.
-pub const STALL: Duration = Duration::from_millis(450);
+pub const STALL: Duration = Duration::from_millis(330);
 
 /// A longer time between two ticks means that the process did not run, so that silence proves
 /// nothing.
@@ -122,7 +122,7 @@
             let alarm = match flight.wait {
                 _ if now >= flight.deadline => Alarm::Deadline,
                 Wait::Answer | Wait::Event if silence > flight.patience => Alarm::Stalled,
-                Wait::Event if is_stalled && silence > STALL => Alarm::Stalled,
+                Wait::Answer | Wait::Event if is_stalled && silence > STALL => Alarm::Stalled,
                 _ => continue,
             };
             if flight.alarm.is_none() {
--- a/crates/mgw-gateway/src/follow.rs
+++ b/crates/mgw-gateway/src/follow.rs
@@ -20,14 +20,15 @@
 /// configuration is current, so it stays well below the bound on revocation.
 const CONFIG_WAIT: Duration = Duration::from_millis(1_500);
 
-/// Pause between two reads of the servers' entries.
-const SERVERS_PAUSE: Duration = Duration::from_millis(450);
+/// Pause between two reads of the servers' entries. The planner tells when groups change, so that
+/// the others need not wait for that long.
+const SERVERS_PAUSE: Duration = Duration::from_millis(600);
 
 /// The planner's pause between two reads of the servers' entries.
-const PLANNER_PAUSE: Duration = Duration::from_millis(250);
+const PLANNER_PAUSE: Duration = Duration::from_millis(400);
 
 /// Pause between two reads of the entries' records.
-const ENTRIES_PAUSE: Duration = Duration::from_millis(700);
+const ENTRIES_PAUSE: Duration = Duration::from_millis(900);
 
 /// Pause between two reads while the system starts for the first time.
 const START_PAUSE: Duration = Duration::from_millis(100);
@@ -83,6 +84,8 @@
     /// Whether the topic ended there when the store answered.
     is_end: bool,
     unreadable: usize,
+    /// Until when the records are known to be all there were.
+    proven: Instant,
 }
 
 /// Follows `topic` for as long as the process runs.
@@ -92,19 +95,26 @@
     let mut is_lost = false;
     loop {
         let asked = clock::now();
-        match fetch(&mut client, topic, next).await {
+        match fetch(&mut client, topic, next, asked).await {
             Ok(update) => {
                 if std::mem::take(&mut is_lost) {
                     gate.record(Body::new(Kind::StoreRegained).text(topic.name()));
                 }
                 next = Some(update.next);
-                apply(&gate, topic, update, asked);
+                apply(&gate, topic, update);
                 if topic == Topic::Entries {
                     apply_for_lead(&gate, &mut client, next).await;
                 }
                 let is_planner = gate.with(|state| state.is_leading);
                 let is_starting = gate.quiet(clock::now()).is_some();
-                tokio::time::sleep(topic.pause(is_planner, is_starting)).await;
+                let pause = tokio::time::sleep(topic.pause(is_planner, is_starting));
+                match topic {
+                    Topic::Servers => tokio::select! {
+                        () = pause => {}
+                        () = gate.look.notified() => {}
+                    },
+                    Topic::Config | Topic::Entries => pause.await,
+                }
             }
             Err(Error::Status(410)) => next = None,
             Err(error) => {
@@ -120,12 +130,21 @@
     }
 }
 
-async fn fetch(client: &mut Client, topic: Topic, next: Option<u64>) -> Result<Update, Error> {
-    let Some(next) = next else { return fetch_newest(client, topic).await };
+async fn fetch(
+    client: &mut Client,
+    topic: Topic,
+    next: Option<u64>,
+    asked: Instant,
+) -> Result<Update, Error> {
+    let Some(next) = next else { return fetch_newest(client, topic, asked).await };
     let wait = topic.wait();
     let body = client.call(&store::read(topic.name(), next, wait), wait).await?;
     let batch = store::batch(body, next).map_err(unreadable)?;
+    // An answer without records was made when the wait was over.
+    let waited = asked + wait;
+    let is_idle = batch.next == next && batch.unreadable == 0 && waited <= clock::now();
     Ok(Update {
+        proven: if is_idle { waited } else { asked },
         records: batch.records,
         is_whole: false,
         next: batch.next,
@@ -136,7 +155,7 @@
 
 /// Reads the newest record of each key. Pages are made one after the other, so the records from the
 /// end of the first one on are read again.
-async fn fetch_newest(client: &mut Client, topic: Topic) -> Result<Update, Error> {
+async fn fetch_newest(client: &mut Client, topic: Topic, asked: Instant) -> Result<Update, Error> {
     let (mut records, mut unread) = (Vec::new(), 0);
     let (mut after, mut end): (Option<SmolStr>, Option<u64>) = (None, None);
     loop {
@@ -149,7 +168,14 @@
         after = page.after;
         if after.is_none() {
             let next = end.unwrap_or_default();
-            return Ok(Update { records, is_whole: true, next, is_end: true, unreadable: unread });
+            return Ok(Update {
+                records,
+                is_whole: true,
+                next,
+                is_end: true,
+                unreadable: unread,
+                proven: asked,
+            });
         }
     }
 }
@@ -158,7 +184,7 @@
     Error::Lost { step: error.step, cause: error.cause }
 }
 
-fn apply(gate: &Gate, topic: Topic, update: Update, asked: Instant) {
+fn apply(gate: &Gate, topic: Topic, update: Update) {
     let now = clock::now();
     if update.unreadable > 0 {
         let text = format!("{} records of {}", update.unreadable, topic.name());
@@ -173,9 +199,9 @@
             }
         }
         match topic {
-            Topic::Config if update.is_end => state.proof.renew(asked),
+            Topic::Config if update.is_end => state.proof.renew(update.proven),
             Topic::Entries if update.is_end => {
-                state.entries.note_read(asked);
+                state.entries.note_read(update.proven);
                 state.share_budget(gate.settings.bounds.extra_retries);
             }
             _ => {}
--- a/crates/mgw-gateway/src/forward.rs
+++ b/crates/mgw-gateway/src/forward.rs
@@ -213,6 +213,9 @@
     let priority = rank.unwrap_or(route.priority).min(9);
     let whole = caller.deadline.unwrap_or(DEADLINE).min(route.timeout);
     let deadline = arrived + whole.saturating_sub(RETURN);
+    if gate.leave.get().is_some_and(|leave| !leave.takes(deadline, arrived)) {
+        return Err(Cause::Leaving);
+    }
     let who = team.clone().or(caller.key.clone()).unwrap_or_default();
     let fingerprint = quarantine::fingerprint(&who, request.target(), &body);
     let wake = Rc::new(Notify::new());
--- a/crates/mgw-gateway/src/gate.rs
+++ b/crates/mgw-gateway/src/gate.rs
@@ -11,6 +11,7 @@
 use mgw_fleet::entry::{self, Phase};
 use mgw_fleet::fresh::Proof;
 use mgw_fleet::group::{self, Group};
+use mgw_fleet::leave::Leave;
 use mgw_fleet::plan::{Demand, Planner};
 use mgw_fleet::roster::Roster;
 use mgw_fleet::share;
@@ -53,6 +54,8 @@
     grouped: Option<(u64, u64)>,
     /// Requests of the other entries at the targets.
     pub shares: share::Table,
+    /// The planner's term and count of changed groups, as it last told.
+    pub moves: Option<(u64, u64)>,
     /// Hashes of the targets that stand still, for the other entries.
     pub stalled: Vec<u64>,
     /// The other entries and the planner.
@@ -94,6 +97,10 @@
     started: Instant,
     /// Wakes the writer of heartbeats.
     pub beat: Notify,
+    /// Set once the process was told to stop.
+    pub leave: Cell<Option<Leave>>,
+    /// Wakes the reader of the servers' entries.
+    pub look: Notify,
     /// Open connections of callers.
     pub callers: Cell<usize>,
     /// Bytes of bodies that are held.
@@ -119,6 +126,7 @@
             groups: Rc::default(),
             grouped: None,
             shares: share::Table::default(),
+            moves: None,
             stalled: Vec::new(),
             entries: entry::Table::default(),
             planner: None,
@@ -139,6 +147,8 @@
             incarnation,
             started: clock::now(),
             beat: Notify::new(),
+            leave: Cell::new(None),
+            look: Notify::new(),
             callers: Cell::new(0),
             held: Cell::new(0),
             state: RefCell::new(state),
--- a/crates/mgw-gateway/src/reply.rs
+++ b/crates/mgw-gateway/src/reply.rs
@@ -26,6 +26,8 @@
     StaleConfig,
     /// This process holds too much already.
     Overloaded,
+    /// This process ends before the request would.
+    Leaving,
     /// The request crashed servers.
     Quarantined,
     /// No server or group can take the request.
@@ -55,6 +57,7 @@
             Cause::NoConfig
             | Cause::StaleConfig
             | Cause::Overloaded
+            | Cause::Leaving
             | Cause::Quarantined
             | Cause::NoTarget
             | Cause::Full
@@ -77,6 +80,7 @@
             Cause::NoConfig => "no_config",
             Cause::StaleConfig => "stale_config",
             Cause::Overloaded => "overloaded",
+            Cause::Leaving => "leaving",
             Cause::Quarantined => "quarantined",
             Cause::NoTarget => "no_target",
             Cause::Full => "full",
@@ -91,7 +95,7 @@
     pub fn retry_after(self) -> Option<Duration> {
         match self {
             // Another entry probably can.
-            Cause::NoConfig | Cause::StaleConfig | Cause::Overloaded => {
+            Cause::NoConfig | Cause::StaleConfig | Cause::Overloaded | Cause::Leaving => {
                 Some(Duration::from_millis(200))
             }
             Cause::Refused | Cause::Full => Some(Duration::from_millis(700)),
--- a/crates/mgw-gateway/src/run.rs
+++ b/crates/mgw-gateway/src/run.rs
@@ -8,6 +8,7 @@
 use mgw_event::Kind;
 use mgw_event::event::Body;
 use mgw_fleet::entry::Phase;
+use mgw_fleet::leave::Leave;
 use platform::settings::Settings;
 use rand::rngs::SmallRng;
 use rand::{Rng as _, SeedableRng as _};
@@ -27,13 +28,6 @@
 /// New connections that may wait to be accepted.
 const BACKLOG: u32 = 1_024;
 
-/// Time before the forced end at which the process ends by itself.
-const GRACE_SLACK: Duration = Duration::from_millis(500);
-
-/// Time for which callers may still connect to this address after it left the directory: three
-/// times the time for which an answer may be kept, and the heartbeat.
-const LEAVE: Duration = Duration::from_millis(6_500);
-
 /// Period of the check whether a draining process may end.
 const DRAIN_CHECK: Duration = Duration::from_millis(50);
 
@@ -93,23 +87,17 @@
 /// Leaves the directory, goes on serving callers that keep an old answer, and ends when nothing is
 /// in flight or the time is over.
 async fn drain(gate: &Gate) {
-    let start = clock::now();
     let entry = &gate.settings.entry;
+    let leave = Leave::new(clock::now(), gate.settings.bounds.grace);
+    gate.leave.set(Some(leave));
     gate.with(|state| {
         state.phase = Phase::Draining;
         let text = format!("{} requests in flight", state.flights.len());
         state.journal.record(Body::new(Kind::GatewayDraining).entry(entry).text(text));
     });
     gate.beat.notify_one();
-    let most = gate.settings.bounds.grace.saturating_sub(GRACE_SLACK);
-    let leave = LEAVE.min(most);
-    loop {
+    while !leave.is_over(gate.with(|state| state.flights.is_empty()), clock::now()) {
         tokio::time::sleep(DRAIN_CHECK).await;
-        let waited = clock::now().since(start);
-        let is_idle = gate.with(|state| state.flights.is_empty());
-        if waited >= most || (waited >= leave && is_idle) {
-            break;
-        }
     }
     gate.with(|state| {
         let text = format!("{} requests cut off", state.flights.len());
--- a/crates/mgw-gateway/src/share.rs
+++ b/crates/mgw-gateway/src/share.rs
@@ -26,13 +26,18 @@
             }
         };
         match share {
-            Some(share) => gate.with(|state| take(state, share)),
+            Some(share) => {
+                if gate.with(|state| take(state, share)) {
+                    gate.look.notify_one();
+                }
+            }
             None => gate.count("share", "malformed"),
         }
     }
 }
 
-fn take(state: &mut State, share: Share) {
+/// Takes the counts of another entry. Returns whether groups have changed.
+fn take(state: &mut State, share: Share) -> bool {
     let now = clock::now();
     for target in &share.stalled {
         let found = state.roster.iter().find(|(_, server)| share::target(&server.id) == *target);
@@ -44,7 +49,10 @@
             planner.suspect(&name, now);
         }
     }
+    let has_moved = share.moves.is_some_and(|moves| state.moves != Some(moves));
+    state.moves = share.moves.or(state.moves);
     state.shares.take(share, now);
+    has_moved
 }
 
 /// Sends this entry's counts to the others.
@@ -56,6 +64,7 @@
             sequence,
             counts: counts(state),
             stalled: state.stalled.clone(),
+            moves: state.leading().map(|planner| (planner.term(), planner.moves())),
         };
         let own = gate.settings.callers.to_string();
         let mut peers: Vec<SocketAddr> = state
--- a/crates/mgw-gateway/src/steer.rs
+++ b/crates/mgw-gateway/src/steer.rs
@@ -25,7 +25,7 @@
 const PERIOD: Duration = Duration::from_millis(150);
 
 /// Time for an instance's answer to a probe.
-const PROBE_LIMIT: Duration = Duration::from_millis(400);
+const PROBE_LIMIT: Duration = Duration::from_millis(300);
 
 /// Time for an instance's answer to an order. Some answers are lost; the effect is seen in the
 /// instance's entry.
