--- a/crates/mgw-fleet/src/entry.rs
+++ b/crates/mgw-fleet/src/entry.rs
@@ -22,7 +22,7 @@
 
 /// Age of the newest read of the records after which a planner gives no orders: by then another
 /// entry may hold the role.
-const LEAD_STALE: Duration = Duration::from_millis(2_500);
+const LEAD_STALE: Duration = Duration::from_millis(1_900);
 
 /// Time between the candidates for the planner's role.
 const CANDIDATE_GAP: Duration = Duration::from_millis(300);
@@ -197,17 +197,24 @@
         self.lead.as_ref().map(|(_, lead)| lead.entry.as_str())
     }
 
-    /// What the entry `name` with `incarnation` has to do.
-    pub fn duty(&mut self, name: &str, incarnation: u64, now: Instant) -> Duty {
+    /// The incarnation of the newest planner, if there was one.
+    pub fn leader_incarnation(&self) -> Option<u64> {
+        self.lead.as_ref().map(|(_, lead)| lead.incarnation)
+    }
+
+    /// What the entry `name` with `incarnation` has to do. `is_lost` says that the planner is silent
+    /// towards the other entries, which is noticed sooner than missing heartbeats.
+    pub fn duty(&mut self, name: &str, incarnation: u64, is_lost: bool, now: Instant) -> Duty {
         let is_fresh = self.asked.is_some_and(|asked| now.since(asked) < LEAD_STALE);
         if !is_fresh {
             self.vacant = None;
             return Duty::Follow;
         }
         let held = self.lead.as_ref().filter(|(_, lead)| {
-            self.serving().any(|(entry, it)| {
-                lead.entry == entry.as_str() && lead.incarnation == it.beat.incarnation
-            })
+            (!is_lost || lead.incarnation == incarnation)
+                && self.serving().any(|(entry, it)| {
+                    lead.entry == entry.as_str() && lead.incarnation == it.beat.incarnation
+                })
         });
         match held {
             Some((term, lead)) if lead.entry == name && lead.incarnation == incarnation => {
--- a/crates/mgw-fleet/src/plan.rs
+++ b/crates/mgw-fleet/src/plan.rs
@@ -22,6 +22,12 @@
 use crate::config::Config;
 use crate::roster::{Roster, Server};
 
+/// Time without a new server after which the list of a system that starts is taken to be whole.
+const SETTLED: Duration = Duration::from_millis(500);
+
+/// Time before the first requests at which groups are formed of the servers that are there.
+const LISTED: Duration = Duration::from_millis(6_500);
+
 /// Epochs that one term may use; a planner forms a few groups a second.
 const EPOCHS_PER_TERM: u64 = 1_000_000;
 
@@ -116,6 +122,12 @@
     staging: Map<SmolStr, Staging>,
     /// Epochs of groups that are to be closed for the sake of another model.
     closing: Vec<u64>,
+    /// When a group last gave way.
+    gave_way: Option<Instant>,
+    /// Groups that are to be formed when those have closed.
+    awaited: Vec<Awaited>,
+    /// The number of servers, and since when it is the same.
+    listed: (usize, Instant),
     /// Groups that opened or began to close.
     moves: u64,
     notes: Vec<Note>,
@@ -128,6 +140,15 @@
     since: Instant,
 }
 
+/// A group for which others give way.
+#[derive(Clone, Debug)]
+struct Awaited {
+    service: SmolStr,
+    domain: SmolStr,
+    model: SmolStr,
+    since: Instant,
+}
+
 /// What the planner needs to know beside the roster.
 #[derive(Clone, Copy, Debug)]
 pub struct View<'a> {
@@ -156,6 +177,9 @@
             loads: Vec::new(),
             staging: Map::default(),
             closing: Vec::new(),
+            gave_way: None,
+            awaited: Vec::new(),
+            listed: (0, Instant::default()),
             moves: 0,
             notes: Vec::new(),
         }
@@ -182,6 +206,22 @@
         std::mem::take(&mut self.notes)
     }
 
+    /// Takes note that an instance did not begin to carry out an order, for all that is known.
+    pub fn refused(&mut self, command: &Command) {
+        if matches!(command.order, Order::Stage { .. }) {
+            self.staging.remove(&command.instance);
+        }
+    }
+
+    /// Takes note that an instance answered an order to open.
+    pub fn answered(&mut self, command: &Command) {
+        let Order::Open { epoch, .. } = command.order else { return };
+        let intent = self.intents.iter_mut().find(|intent| intent.epoch == epoch);
+        if let Some(intent) = intent {
+            intent.unanswered = intent.unanswered.saturating_sub(1);
+        }
+    }
+
     /// Takes the result of a probe.
     pub fn probed(&mut self, instance: &str, probe: Probe, now: Instant) {
         self.watch.probed(instance, probe, now);
@@ -199,6 +239,9 @@
 
     /// Compares intentions with reports and returns what to do.
     pub fn tick(&mut self, view: &View<'_>) -> Vec<Action> {
+        if self.is_listing(view) {
+            return Vec::new();
+        }
         let changing = self.changing();
         let mut actions = self.watch.tick(view.roster, &changing, view.now);
         self.adopt(view);
@@ -208,10 +251,23 @@
         actions
     }
 
+    /// Whether the servers of a system that starts are still being listed. Groups that are formed of
+    /// the first ones would leave no room for large ones.
+    fn is_listing(&mut self, view: &View<'_>) -> bool {
+        if self.listed.0 != view.roster.len() {
+            self.listed = (view.roster.len(), view.now);
+        }
+        view.quiet.is_some_and(|left| left > LISTED) && view.now.since(self.listed.1) < SETTLED
+    }
+
     /// Members of groups that wait for the effect of an order, sorted.
     fn changing(&self) -> Vec<SmolStr> {
-        let changes =
-            |phase: Phase| matches!(phase, Phase::Joining | Phase::Opening | Phase::Closing { .. });
+        let changes = |phase: Phase| {
+            matches!(
+                phase,
+                Phase::Joining | Phase::Opening | Phase::Closing { .. } | Phase::Leaving
+            )
+        };
         let intents = self.intents.iter().filter(|intent| changes(intent.phase));
         let members = intents.flat_map(|intent| intent.members.iter());
         let mut members: Vec<SmolStr> = members.map(|member| member.id.clone()).collect();
@@ -239,7 +295,10 @@
 }
 
 fn command(server: &Server, order: Order) -> Action {
-    Action::Order(Command { instance: server.id.clone(), accepted: server.orders, order })
+    // A load onto the host undoes nothing, however late it is carried out.
+    let is_conditional = !matches!(order, Order::Stage { .. });
+    let accepted = server.orders.filter(|_| is_conditional);
+    Action::Order(Command { instance: server.id.clone(), accepted, order })
 }
 
 /// Time after which an order whose effect is not seen is sent again.
--- a/crates/mgw-fleet/src/plan/form.rs
+++ b/crates/mgw-fleet/src/plan/form.rs
@@ -7,19 +7,22 @@
 
 use crate::config::{Engine, Model};
 use crate::plan::intent::Member;
-use crate::plan::{Action, Demand, Intent, Phase, Planner, View, command};
+use crate::plan::{Action, Awaited, Demand, Intent, Phase, Planner, View, command};
 use crate::roster::{self, Server, Stage};
 
 /// Time over which starts of loads are counted.
 const LOAD_WINDOW: Duration = Duration::from_secs(1);
 
-/// Time before the first requests at which all remaining loads begin: those that have begun by then
-/// finish as fast as the others.
-const LAST_LOADS: Duration = Duration::from_millis(1_300);
-
 /// A group gives way to one of another model only if the other model's supply, in relation to the
 /// need, is below this part of its own.
-const GIVE_WAY: f64 = 0.9;
+const GIVE_WAY: f64 = 0.7;
+
+/// Least time between two groups that give way. A group that changes its model serves nobody for
+/// some seconds.
+const GIVE_WAY_PAUSE: Duration = Duration::from_secs(3);
+
+/// Time for groups to close for the sake of another one.
+const AWAITED: Duration = Duration::from_secs(4);
 
 /// What an instance needs before it can be a member.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -47,6 +50,8 @@
     loads: usize,
     /// The sum of the members' efforts.
     effort: usize,
+    /// Groups of the largest model that no longer fit into the domain.
+    lost: usize,
     /// Free instances of the domain that remain.
     rest: usize,
 }
@@ -66,16 +71,9 @@
             loop {
                 let free = self.free(service, view);
                 let models = self.by_need(service, engine, view);
-                let first =
-                    models.first().and_then(|it| self.formed(service, engine, it, &free, view));
-                let intent = match first {
+                let intent = match self.awaited(service, engine, &free, view) {
                     Some(intent) => Some(intent),
-                    None if self.give_way(service, &models, &free, view) => continue,
-                    None => {
-                        let free = self.unreserved(free, view);
-                        let mut others = models.iter().skip(1);
-                        others.find_map(|it| self.formed(service, engine, it, &free, view))
-                    }
+                    None => self.next_group(service, engine, &models, free, view),
                 };
                 let Some(intent) = intent else { break };
                 let servers = intent.members.iter().filter_map(|it| view.roster.by_id(&it.id));
@@ -88,6 +86,50 @@
         }
     }
 
+    /// The group for which others gave way, once their members are free.
+    fn awaited(
+        &mut self,
+        service: &SmolStr,
+        engine: &Engine,
+        free: &Free<'_>,
+        view: &View<'_>,
+    ) -> Option<Intent> {
+        self.awaited.retain(|it| view.now.since(it.since) < AWAITED);
+        let found = self.awaited.iter().position(|it| {
+            let is_free = |domain: &SmolStr| *domain == it.domain;
+            let model = engine.model(&it.model);
+            let here = free.iter().find(|(domain, _)| is_free(domain));
+            model.zip(here).is_some_and(|(model, (_, servers))| {
+                let warm = |server: &&&Server| effort(server, model) != Effort::Load;
+                it.service == *service && servers.iter().filter(warm).count() >= model.size
+            })
+        })?;
+        let awaited = self.awaited.remove(found);
+        let mut here: Free<'_> = Map::default();
+        here.insert(awaited.domain.clone(), free.get(&awaited.domain)?.clone());
+        self.formed(service, engine, engine.model(&awaited.model)?, &here, view)
+    }
+
+    fn next_group(
+        &mut self,
+        service: &SmolStr,
+        engine: &Engine,
+        models: &[&Model],
+        free: Free<'_>,
+        view: &View<'_>,
+    ) -> Option<Intent> {
+        let poor = models.first()?;
+        let mut free = free;
+        free.retain(|domain, _| !self.awaited.iter().any(|it| it.domain == *domain));
+        if let Some(intent) = self.formed(service, engine, poor, &free, view) {
+            return Some(intent);
+        }
+        if self.give_way(service, models, &free, view) {
+            free.retain(|domain, _| !self.awaited.iter().any(|it| it.domain == *domain));
+        }
+        models.iter().skip(1).find_map(|other| self.formed(service, engine, other, &free, view))
+    }
+
     /// A new group of `model` on free instances.
     fn formed(
         &mut self,
@@ -103,7 +145,8 @@
             Some(_) => self.load_room(engine, view),
             None => 0,
         };
-        let site = site(free, model, room)?;
+        let largest = engine.models.iter().map(|model| model.size).max().unwrap_or(1);
+        let site = site(free, model, room, largest)?;
         let members = site
             .members
             .iter()
@@ -114,18 +157,6 @@
         Some(Intent::joining(service, epoch, &model.name, members, view.now))
     }
 
-    /// Free instances outside the domains where groups close for the sake of another model.
-    fn unreserved<'a>(&self, mut free: Free<'a>, view: &View<'_>) -> Free<'a> {
-        let reserved: Vec<SmolStr> = self
-            .intents
-            .iter()
-            .filter(|intent| self.closing.contains(&intent.epoch))
-            .filter_map(|intent| domain(intent, view))
-            .collect();
-        free.retain(|domain, _| !reserved.contains(domain));
-        free
-    }
-
     /// The models, the one with the least supply for its need first.
     pub(super) fn by_need<'a>(
         &self,
@@ -202,10 +233,7 @@
         let loading = joins + self.staging.len();
         let free = engine.loads_at_once.saturating_sub(loading);
         match view.quiet {
-            Some(left) if left < LAST_LOADS => usize::MAX,
-            // A group starts as a whole, so that the last one may exceed the number at once.
-            Some(_) if free > 0 => usize::MAX,
-            Some(_) => 0,
+            Some(_) => usize::MAX,
             None => free.min((engine.loads_per_s as usize).saturating_sub(self.loads.len())),
         }
     }
@@ -228,20 +256,31 @@
         view: &View<'_>,
     ) -> bool {
         let (Some(poor), Some(rich)) = (models.first(), models.last()) else { return false };
-        let is_pending = self.intents.iter().any(|it| self.closing.contains(&it.epoch));
-        if view.quiet.is_some() || is_pending || poor.name == rich.name {
+        let is_settling = self.gave_way.is_some_and(|at| view.now.since(at) < GIVE_WAY_PAUSE);
+        if view.quiet.is_some() || is_settling || !self.awaited.is_empty() || poor.name == rich.name
+        {
             return false;
         }
         let domains = self.domains(service, view).into_iter();
         let best = domains
-            .filter_map(|domain| self.donors(&domain, free, poor, rich, view))
-            .min_by_key(Vec::len);
-        let Some(donors) = best else { return false };
+            .filter_map(|domain| {
+                let donors = self.donors(&domain, free, poor, rich, view)?;
+                Some((domain, donors))
+            })
+            .min_by_key(|(_, donors)| donors.len());
+        let Some((domain, donors)) = best else { return false };
         let after = self.cover(service, rich, view.demand, -(donors.len() as f64));
         if self.cover(service, poor, view.demand, 0.0) >= after * GIVE_WAY {
             return false;
         }
+        self.gave_way = Some(view.now);
         self.closing.extend(donors);
+        self.awaited.push(Awaited {
+            service: service.clone(),
+            domain,
+            model: poor.name.clone(),
+            since: view.now,
+        });
         true
     }
 
@@ -295,9 +334,9 @@
     demand.get(&(service.clone(), model.name.clone())).copied().unwrap_or(model.share).max(0.02)
 }
 
-/// The best place for a group of `model`: the least effort, then the domain that the group fills
-/// best.
-fn site<'a>(free: &Free<'a>, model: &Model, room: usize) -> Option<Site<'a>> {
+/// The best place for a group of `model`: the least effort, then the domain that keeps room for the
+/// largest groups, then the one that the group fills best.
+fn site<'a>(free: &Free<'a>, model: &Model, room: usize, largest: usize) -> Option<Site<'a>> {
     free.iter()
         .filter(|(_, servers)| servers.len() >= model.size)
         .map(|(_, servers)| {
@@ -308,14 +347,9 @@
                 members.iter().filter(|server| effort(server, model) == Effort::Load).count();
             let effort = members.iter().map(|server| effort(server, model) as usize).sum();
             let rest = servers.len() - model.size;
-            Site { members, loads, effort, rest }
+            let lost = servers.len() / largest - rest / largest;
+            Site { members, loads, effort, lost, rest }
         })
         .filter(|site| site.loads <= room)
-        .min_by_key(|site| (site.effort, site.rest))
-}
-
-/// The domain of a group's head.
-fn domain(intent: &Intent, view: &View<'_>) -> Option<SmolStr> {
-    let head = view.roster.by_id(&intent.members.first()?.id)?;
-    Some(head.record.engine.as_ref()?.domain.clone())
+        .min_by_key(|site| (site.effort, site.lost, site.rest))
 }
--- a/crates/mgw-fleet/src/plan/intent.rs
+++ b/crates/mgw-fleet/src/plan/intent.rs
@@ -48,6 +48,8 @@
         /// Whether requests that run are cut off.
         cut: bool,
     },
+    /// The head closed and was ordered to leave, as an order to open may still be carried out.
+    Leaving,
     /// The head is not listed, as may happen for a while after an outage of the store.
     Headless,
     /// The head is out of reach and may still serve; its members have left it.
@@ -76,6 +78,8 @@
     since: Instant,
     /// When an order was last sent.
     ordered: Instant,
+    /// Orders to open that were not answered; they may be carried out later.
+    pub(super) unanswered: u32,
 }
 
 /// What becomes of an intent.
@@ -105,6 +109,7 @@
             phase: Phase::Joining,
             since: now,
             ordered: now,
+            unanswered: 0,
         }
     }
 
@@ -233,9 +238,10 @@
             (Phase::Joining | Phase::Opening, Some(Stage::Open)) => {
                 Fate::Enter(Phase::Open, "the head serves".into())
             }
-            (Phase::Joining, _) if !is_whole || leaves => {
-                Fate::Release("a member was lost while joining".into())
-            }
+            (Phase::Joining, _) if !is_whole || leaves => match intent.unanswered {
+                0 => Fate::Release("a member was lost while joining".into()),
+                _ => Fate::Enter(Phase::Leaving, "a member was lost while joining".into()),
+            },
             (Phase::Joining, _) => self.fate_joining(intent, &live, model.load, now, actions),
             (Phase::Opening, _) if head.is_none() => {
                 Fate::Enter(Phase::Abandoned, "the head was lost while opening".into())
@@ -247,6 +253,9 @@
                 Fate::Enter(Phase::Closing { cut: true }, "the head does not open".into())
             }
             (Phase::Opening, _) => {
+                if now.since(intent.ordered) > RESEND {
+                    intent.unanswered += 1;
+                }
                 self.resend(intent, head, intent.open(), now, actions);
                 Fate::Keep
             }
@@ -274,9 +283,22 @@
                 Fate::Enter(Phase::Joining, "the head is not open".into())
             }
             (Phase::Open, _) => Fate::Keep,
+            (Phase::Closing { .. }, Some(Stage::Ready | Stage::Joining))
+                if intent.unanswered > 0 =>
+            {
+                Fate::Enter(Phase::Leaving, "an order to open may be on its way".into())
+            }
             (Phase::Closing { .. }, Some(Stage::Ready | Stage::Joining)) => {
                 Fate::Release("the head closed".into())
             }
+            (Phase::Leaving, _) if head.is_none() => {
+                Fate::Enter(Phase::Abandoned, "the head was lost while leaving".into())
+            }
+            (Phase::Leaving, None) => Fate::Release("the head left".into()),
+            (Phase::Leaving, _) => {
+                self.resend(intent, head, intent.leave(), now, actions);
+                Fate::Keep
+            }
             (Phase::Closing { cut: false }, _) if !is_whole || waited > DRAIN => {
                 Fate::Enter(Phase::Closing { cut: true }, "the requests take too long".into())
             }
@@ -347,8 +369,12 @@
         intent.ordered = view.now;
         let head = intent.head().and_then(|member| self.live(member, roster));
         let order = match intent.phase {
-            Phase::Opening => intent.open(),
+            Phase::Opening => {
+                intent.unanswered += 1;
+                intent.open()
+            }
             Phase::Closing { cut } => intent.close(cut),
+            Phase::Leaving => intent.leave(),
             Phase::Abandoned => {
                 let live = intent.members.iter().filter_map(|member| self.live(member, roster));
                 let seated = live.filter(|server| {
@@ -415,5 +441,7 @@
         phase,
         since: now,
         ordered: now,
+        // The planner before may have sent one.
+        unanswered: u32::from(phase != Phase::Open),
     })
 }
--- a/crates/mgw-fleet/src/plan/stage.rs
+++ b/crates/mgw-fleet/src/plan/stage.rs
@@ -7,12 +7,11 @@
 
 use crate::config::{Engine, Model};
 use crate::plan::form::{Effort, effort};
-use crate::plan::{Action, Order, Planner, Staging, View, command};
+use crate::plan::{self, Action, Order, Planner, Staging, View, command};
 use crate::roster::{Phase, Server};
 
-/// Time before the first requests at which hosts begin to load the model that they do not hold in
-/// memory. The groups' own loads have begun by then.
-const LAST_STAGES: Duration = Duration::from_millis(700);
+/// Time before the first requests from which on instances that found no group count as spare.
+const SPARE: Duration = Duration::from_secs(4);
 
 /// Multiple of the expected time after which a load is taken to be lost.
 const PATIENCE: u32 = 3;
@@ -32,9 +31,6 @@
     /// Orders loads onto hosts within the weight store's limits.
     pub(super) fn stage(&mut self, view: &View<'_>, actions: &mut Vec<Action>) {
         self.forget_staged(view);
-        if view.quiet.is_some_and(|left| left > LAST_STAGES) {
-            return;
-        }
         for (service, settings) in view.config.services.iter() {
             let Some(engine) = &settings.engine else { continue };
             let wanted = self.wanted(service, engine, view);
@@ -49,6 +45,17 @@
         }
     }
 
+    /// Whether an instance carries out other orders, or will before the first requests. A load onto
+    /// its host would delay a join, and change the count of orders that others are given under.
+    fn is_changing(&self, server: &Server, view: &View<'_>) -> bool {
+        let has_server =
+            |intent: &&plan::Intent| intent.members.iter().any(|it| it.id == server.id);
+        match self.intents.iter().find(has_server) {
+            Some(intent) => intent.phase != plan::Phase::Open,
+            None => view.quiet.is_some_and(|left| left > SPARE),
+        }
+    }
+
     fn forget_staged(&mut self, view: &View<'_>) {
         self.staging.retain(|id, staging| {
             let Some(server) = view.roster.by_id(id) else { return false };
@@ -80,6 +87,7 @@
                 && server.record.phase == Phase::Ready
                 && server.missing.is_none()
                 && !self.watch.is_lost(&server.id)
+                && !self.is_changing(server, view)
                 && self.staging.get(&server.id).is_none()
         });
         let mut wanted: Vec<(Urgency, &Server, &Model)> = servers
--- a/crates/mgw-fleet/src/roster.rs
+++ b/crates/mgw-fleet/src/roster.rs
@@ -102,6 +102,8 @@
     pub heard: Instant,
     /// Orders accepted since the start, once it was asked.
     pub orders: Option<u64>,
+    /// When it last reported its engine's state itself.
+    observed: Option<Instant>,
     /// Since when its entry is missing although the store may have dropped it by mistake.
     pub missing: Option<Instant>,
     /// What this process knows of its load.
@@ -122,6 +124,8 @@
     revision: u64,
     /// When the store was last out of reach.
     outage: Option<Instant>,
+    /// When the two newest reads of the list were sent.
+    reads: (Instant, Instant),
 }
 
 impl Roster {
@@ -174,6 +178,11 @@
             Some(server) if server.record.born == record.born => {
                 server.heard = now;
                 server.missing = None;
+                let mut record = record;
+                // The entry may have been written before the report.
+                if server.observed.is_some_and(|at| at >= self.reads.0) {
+                    record.engine.clone_from(&server.record.engine);
+                }
                 if server.record != record {
                     self.revision += 1;
                     server.record = record;
@@ -188,6 +197,7 @@
                     record,
                     heard: now,
                     orders: None,
+                    observed: None,
                     missing: None,
                     load: Load::default(),
                 };
@@ -205,6 +215,7 @@
             return;
         }
         server.heard = now;
+        server.observed = Some(now);
         server.orders = Some(orders);
         if server.record.engine.as_ref() != Some(&engine) {
             server.record.engine = Some(engine);
@@ -253,6 +264,11 @@
         gone.iter().for_each(|id| self.remove(id, now));
     }
 
+    /// Notes that the list is read with a call that was sent at `asked`.
+    pub fn note_read(&mut self, asked: Instant) {
+        self.reads = (self.reads.1, asked);
+    }
+
     /// Notes that the store did not answer at `now`.
     pub fn note_outage(&mut self, now: Instant) {
         self.outage = Some(now);
--- a/crates/mgw-fleet/src/share.rs
+++ b/crates/mgw-fleet/src/share.rs
@@ -21,6 +21,21 @@
 /// Time after which an entry's counts no longer count.
 const STALE: Duration = Duration::from_millis(800);
 
+/// Silence after which an entry that told its counts each 100 ms counts as lost.
+const LOST: Duration = Duration::from_millis(1_000);
+
+/// Rounds in which a planner says that it does not plan before another entry takes the role.
+const IDLE_ROUNDS: u32 = 3;
+
+/// Age of counts that show that their sender lives.
+const FRESH: Duration = Duration::from_millis(400);
+
+/// Other entries that must be heard before one counts as lost.
+const OTHERS: usize = 2;
+
+/// Time after which an entry that ended is forgotten.
+const FORGOTTEN: Duration = Duration::from_secs(60);
+
 /// The most entries that a round is sent to; more entries see each other's counts in turn.
 pub const FAN_OUT: usize = 24;
 
@@ -68,6 +83,8 @@
 struct Peer {
     share: Share,
     at: Instant,
+    /// Rounds since it last said that it plans; 0 if it never did.
+    idle_rounds: u32,
 }
 
 /// The newest counts of the other entries.
@@ -76,6 +93,8 @@
     peers: Map<u64, Peer>,
     /// Sums over the peers, sorted by target.
     sums: Vec<(u64, u32)>,
+    /// When each entry was last heard, also after its counts were forgotten.
+    heard: Map<u64, Instant>,
 }
 
 impl Table {
@@ -84,13 +103,22 @@
         let is_older =
             self.peers.get(&share.sender).is_some_and(|it| it.share.sequence >= share.sequence);
         if !is_older {
-            self.peers.insert(share.sender, Peer { share, at: now });
+            self.heard.insert(share.sender, now);
+            let known = self.peers.get(&share.sender);
+            let has_planned =
+                known.is_some_and(|it| it.share.moves.is_some() || it.idle_rounds > 0);
+            let idle_rounds = match share.moves {
+                None if has_planned => known.map_or(0, |it| it.idle_rounds) + 1,
+                Some(_) | None => 0,
+            };
+            self.peers.insert(share.sender, Peer { share, at: now, idle_rounds });
             self.sum();
         }
     }
 
     /// Forgets entries that are silent.
     pub fn tick(&mut self, now: Instant) {
+        self.heard.retain(|_, at| now.since(*at) < FORGOTTEN);
         let before = self.peers.len();
         self.peers.retain(|_, peer| now.since(peer.at) < STALE);
         if self.peers.len() != before {
@@ -98,6 +126,16 @@
         }
     }
 
+    /// Whether the planner with this incarnation says that it does not plan, or is silent while
+    /// others go on. Then it is more likely that it has ended than that this process hears nobody.
+    pub fn has_lost(&self, sender: u64, now: Instant) -> bool {
+        let silence = |peer: &Peer| now.since(peer.at);
+        let is_silent = self.heard.get(&sender).is_some_and(|at| now.since(*at) > LOST);
+        let is_idle = self.peers.get(&sender).is_some_and(|peer| peer.idle_rounds >= IDLE_ROUNDS);
+        let others = self.peers.iter().filter(|(id, peer)| **id != sender && silence(peer) < FRESH);
+        is_idle || (is_silent && others.count() >= OTHERS)
+    }
+
     /// The number of entries whose counts are known.
     pub fn len(&self) -> usize {
         self.peers.len()
--- a/crates/mgw-fleet/tests/place.rs
+++ b/crates/mgw-fleet/tests/place.rs
@@ -135,3 +135,24 @@
     assert_eq!(load.requests(Some(1), at(1_000)), 3.0);
     assert!(load.requests(None, at(4_000)) < 5.0, "old reports fade");
 }
+
+/// Guards against an entry that takes all others for lost because it is cut off itself.
+#[test]
+fn silence_counts_only_while_others_are_heard() {
+    let share = |sender, sequence| Share {
+        sender,
+        sequence,
+        counts: Vec::new(),
+        stalled: Vec::new(),
+        moves: None,
+    };
+    let mut table = Table::default();
+    for sender in 1..=4 {
+        table.take(share(sender, 1), at(0));
+    }
+    assert!(!table.has_lost(1, at(2_000)), "nobody is heard");
+    table.take(share(2, 2), at(1_900));
+    table.take(share(3, 2), at(1_900));
+    assert!(table.has_lost(1, at(2_000)));
+    assert!(!table.has_lost(9, at(2_000)), "it was never heard");
+}
--- a/crates/mgw-fleet/tests/roster.rs
+++ b/crates/mgw-fleet/tests/roster.rs
@@ -76,3 +76,27 @@
     world.roster.remove(&member, world.now);
     assert!(group::table(&world.roster, &config()).iter().all(|group| !group.is_servable));
 }
+
+/// Guards against an entry of the list that was written before the server's own report and undoes
+/// it: a group that had closed was taken for open again.
+#[test]
+fn an_older_entry_does_not_undo_a_report() {
+    let mut roster = Roster::default();
+    roster.note_read(at(0));
+    roster.upsert("a", record(0), at(10));
+    let reported = mgw_fleet::roster::Engine {
+        model: Some("large".into()),
+        ..record(0).engine.expect("an engine")
+    };
+    roster.observe("a", 1, reported, 1, at(300));
+    let model = |roster: &Roster| {
+        let engine = roster.by_id("a").and_then(|server| server.record.engine.clone());
+        engine.and_then(|engine| engine.model)
+    };
+    roster.note_read(at(400));
+    roster.upsert("a", record(0), at(410));
+    assert_eq!(model(&roster).as_deref(), Some("large"), "written before 300 perhaps");
+    roster.note_read(at(800));
+    roster.upsert("a", record(0), at(810));
+    assert_eq!(model(&roster), None, "written after 400");
+}
--- a/crates/mgw-gateway/src/follow.rs
+++ b/crates/mgw-gateway/src/follow.rs
@@ -193,7 +193,10 @@
     gate.with(|state| {
         match topic {
             Topic::Config => update.records.iter().for_each(|it| apply_config(state, it)),
-            Topic::Servers => apply_servers(state, &update, now),
+            Topic::Servers => {
+                state.roster.note_read(update.proven);
+                apply_servers(state, &update, now);
+            }
             Topic::Entries => {
                 update.records.iter().for_each(|it| apply_entry(state, it, now));
             }
@@ -305,7 +308,7 @@
 async fn apply_for_lead(gate: &Gate, client: &mut Client, end: Option<u64>) {
     let now = clock::now();
     let name = &gate.settings.entry;
-    let duty = gate.with(|state| state.entries.duty(name, gate.incarnation, now));
+    let duty = gate.with(|state| state.duty(name, gate.incarnation, now));
     if duty != Duty::Apply {
         return;
     }
--- a/crates/mgw-gateway/src/gate.rs
+++ b/crates/mgw-gateway/src/gate.rs
@@ -210,6 +210,13 @@
         Rc::clone(&self.groups)
     }
 
+    /// What the entry `name` with `incarnation` has to do about the planner's role.
+    pub fn duty(&mut self, name: &str, incarnation: u64, now: Instant) -> entry::Duty {
+        let leader = self.entries.leader_incarnation();
+        let is_lost = leader.is_some_and(|leader| self.shares.has_lost(leader, now));
+        self.entries.duty(name, incarnation, is_lost, now)
+    }
+
     /// The newest term that this entry held.
     pub fn term(&self) -> Option<u64> {
         self.planner.as_ref().map(Planner::term)
--- a/crates/mgw-gateway/src/steer.rs
+++ b/crates/mgw-gateway/src/steer.rs
@@ -79,7 +79,7 @@
     let name = &gate.settings.entry;
     gate.with(|state| {
         let duty = match state.phase {
-            Phase::Serving => state.entries.duty(name, gate.incarnation, now),
+            Phase::Serving => state.duty(name, gate.incarnation, now),
             Phase::Starting | Phase::Draining => Duty::Follow,
         };
         match duty {
@@ -147,6 +147,16 @@
     gate.count("orders", if answer.is_ok() { "answered" } else { "lost" });
     let text = format!("{outcome} to {:?} after {:?} orders", command.order, command.accepted);
     gate.record(Body::new(Kind::OrderAnswered).instance(&command.instance).text(text));
+    let reply = answer.as_ref().ok().map(|(status, _)| order::reply(*status));
+    gate.with(|state| match (state.leading(), reply) {
+        (Some(planner), Some(Reply::Begun | Reply::Done)) => planner.answered(&command),
+        (Some(planner), Some(Reply::Conflict)) => {
+            planner.answered(&command);
+            planner.refused(&command);
+        }
+        (Some(planner), Some(Reply::Fenced | Reply::Rejected)) => planner.refused(&command),
+        (Some(_), None) | (None, _) => {}
+    });
     gate.with(|state| match answer.map(|(status, _)| order::reply(status)) {
         Ok(Reply::Begun) => state.roster.note_order(&command.instance),
         Ok(Reply::Conflict) => state.roster.forget_orders(&command.instance),
