--- a/crates/mgw-fleet/src/plan/form.rs
+++ b/crates/mgw-fleet/src/plan/form.rs
@@ -185,6 +185,7 @@
             let is_free = record.service == *service
                 && record.phase == roster::Phase::Ready
                 && server.missing.is_none()
+                && server.orders.is_some()
                 && !self.watch.is_lost(&server.id)
                 && !record.seat().is_some_and(|seat| serving.contains(&seat.epoch))
                 && !self.is_taken(server);
--- a/crates/mgw-fleet/src/plan/intent.rs
+++ b/crates/mgw-fleet/src/plan/intent.rs
@@ -252,6 +252,7 @@
             (Phase::Opening, _) if waited > OPEN_PATIENCE => {
                 Fate::Enter(Phase::Closing { cut: true }, "the head does not open".into())
             }
+            (Phase::Opening, _) if head.is_some_and(|head| head.orders.is_none()) => Fate::Keep,
             (Phase::Opening, _) => {
                 if now.since(intent.ordered) > RESEND {
                     intent.unanswered += 1;
@@ -332,7 +333,9 @@
     ) -> Fate {
         let is_ready = live.iter().all(|server| intent.stage(server) == Some(Stage::Ready));
         let waited = now.since(intent.since);
-        if is_ready {
+        // Without the count of orders an order to open could be carried out after newer ones.
+        let is_counted = live.iter().all(|server| server.orders.is_some());
+        if is_ready && is_counted {
             return Fate::Enter(Phase::Opening, "all members are ready".into());
         }
         if waited > load * 3 + JOIN_SLACK {
@@ -426,7 +429,9 @@
         Some(Stage::Open) => Phase::Open,
         Some(Stage::Closing) => Phase::Closing { cut: true },
         Some(Stage::Joining | Stage::Ready) if is_whole => Phase::Joining,
-        Some(_) => return None,
+        // The planner before may have ordered it to open.
+        Some(Stage::Joining | Stage::Ready) => Phase::Leaving,
+        Some(Stage::Broken) => return None,
         None => Phase::Headless,
     };
     let member =
@@ -440,7 +445,8 @@
         has_head: head.is_some(),
         phase,
         since: now,
-        ordered: now,
+        // Whatever has to be ordered is ordered at once.
+        ordered: Instant::default(),
         // The planner before may have sent one.
         unanswered: u32::from(phase != Phase::Open),
     })
--- a/crates/mgw-fleet/tests/common/mod.rs
+++ b/crates/mgw-fleet/tests/common/mod.rs
@@ -124,6 +124,7 @@
 
     /// Writes the entries of all instances that live.
     pub fn publish(&mut self) {
+        self.roster.note_read(self.now);
         for (id, record) in self.records.iter() {
             if !self.silent.contains(id) {
                 self.roster.upsert(id, record.clone(), self.now);
@@ -158,6 +159,10 @@
                         let is_silent = self.silent.contains(&id);
                         let probe = if is_silent { Probe::Silent } else { Probe::Alive };
                         planner.probed(&id, probe, self.now);
+                        if !is_silent && let Some(record) = self.records.get(&id) {
+                            let engine = record.engine.clone().expect("an engine");
+                            self.roster.observe(&id, record.born, engine, 0, self.now);
+                        }
                     }
                 }
             }
--- a/crates/mgw-fleet/tests/plan.rs
+++ b/crates/mgw-fleet/tests/plan.rs
@@ -198,3 +198,28 @@
     let joins = world.orders.iter().skip(leave.expect("the head leaves first"));
     assert!(joins.filter(|it| matches!(it.order, Order::Join { .. })).count() >= 2);
 }
+
+/// Guards against a head that opens for the planner before while its members are used elsewhere:
+/// it leaves a group that is not whole before it joins another one (seen after a change of the
+/// planner as an instance that joined while its group was open).
+#[test]
+fn a_head_of_an_incomplete_group_leaves_it_first() {
+    let mut world = World::new(1, 4);
+    world.demand.insert(("engines".into(), SMALL.into()), 0.0);
+    world.loses_opens = true;
+    world.run(&mut Planner::new(5), 900);
+    let head = world.orders.iter().find(|it| matches!(it.order, Order::Open { .. }));
+    let head = head.expect("an order to open").instance.clone();
+    let other = world.records.iter().map(|(id, _)| id.clone()).find(|id| *id != head);
+    let other = other.expect("another member");
+    world.roster.remove(&other, world.now);
+    world.silent.push(other);
+    world.orders.clear();
+    world.run(&mut Planner::new(9), 3_000);
+    let place = |wanted: fn(&Order) -> bool| {
+        world.orders.iter().position(|it| it.instance == head && wanted(&it.order))
+    };
+    let leave = place(|order| matches!(order, Order::Leave { .. })).expect("it leaves");
+    let join = place(|order| matches!(order, Order::Join { .. }));
+    assert!(join.is_none_or(|join| leave < join), "{:?}", world.orders);
+}
--- a/crates/mgw-gateway/src/gate.rs
+++ b/crates/mgw-gateway/src/gate.rs
@@ -76,6 +76,9 @@
     pub blames: Vec<entry::Blame>,
     /// Instance seconds that requests took, by service and model, decaying.
     pub asked: Demand,
+    /// Requests in flight at each model's groups, of all entries, times the instances of a group;
+    /// smoothed.
+    pub busy: Demand,
     /// Whether the process serves.
     pub phase: Phase,
     /// The log.
@@ -137,6 +140,7 @@
             quarantine,
             blames: Vec::new(),
             asked: Map::default(),
+            busy: Map::default(),
             phase: Phase::Starting,
             journal,
             metrics: Metrics::default(),
@@ -250,20 +254,51 @@
         self.blames.drain(..excess);
     }
 
-    /// The models' shares of the work, once enough requests were seen.
+    /// Takes a sample of the requests in flight at each model's groups.
+    pub fn sample(&mut self, now: Instant) {
+        /// Part of the past that is kept at each sample.
+        const KEPT: f64 = 0.8;
+        let Some(config) = self.config.clone() else { return };
+        let groups = self.groups();
+        self.busy.iter_mut().for_each(|(_, weight)| *weight *= KEPT);
+        for group in groups.iter() {
+            let engine = config.services.get(&group.service).and_then(|it| it.engine.as_ref());
+            let model = engine.and_then(|engine| engine.models.get(group.model));
+            let (Some(model), Some(head)) = (model, self.roster.get(group.head)) else { continue };
+            let told = self.shares.requests(share::target(&head.id));
+            let weight = head.load.requests(Some(told), now) * model.size as f64;
+            let key = (group.service.clone(), model.name.clone());
+            *self.busy.entry(key, || 0.0) += weight * (1.0 - KEPT);
+        }
+    }
+
+    /// The models' shares of the work, once enough requests were seen: the mean of what the
+    /// requests should take and of what is in flight, which shows how long they really take.
     pub fn demand(&self) -> Demand {
         /// Instance seconds below which the configured shares are used.
         const ENOUGH: f64 = 8.0;
-        let mut totals: Map<SmolStr, f64> = Map::default();
-        for ((service, _), weight) in self.asked.iter() {
-            *totals.entry(service.clone(), || 0.0) += weight;
-        }
-        self.asked
+        let (asked, busy) = (shares(&self.asked, ENOUGH), shares(&self.busy, ENOUGH));
+        asked
             .iter()
-            .filter_map(|((service, model), weight)| {
-                let total = totals.get(service).copied().filter(|total| *total >= ENOUGH)?;
-                Some(((service.clone(), model.clone()), weight / total))
+            .map(|(key, share)| {
+                let other = busy.get(key).copied().unwrap_or(*share);
+                (key.clone(), (share + other) / 2.0)
             })
             .collect()
     }
 }
+
+/// Each weight as a share of its service's; services below `enough` are left out.
+fn shares(weights: &Demand, enough: f64) -> Demand {
+    let mut totals: Map<SmolStr, f64> = Map::default();
+    for ((service, _), weight) in weights.iter() {
+        *totals.entry(service.clone(), || 0.0) += weight;
+    }
+    weights
+        .iter()
+        .filter_map(|((service, model), weight)| {
+            let total = totals.get(service).copied().filter(|total| *total >= enough)?;
+            Some(((service.clone(), model.clone()), weight / total))
+        })
+        .collect()
+}
--- a/crates/mgw-gateway/src/tick.rs
+++ b/crates/mgw-gateway/src/tick.rs
@@ -124,6 +124,7 @@
     gate.with(|state| {
         state.pool.tick(now);
         state.quarantine.tick(now);
+        state.sample(now);
         state.asked.iter_mut().for_each(|(_, weight)| *weight *= DEMAND_DECAY);
         state.asked.retain(|_, weight| *weight > 0.1);
     });
