plan: a head that is opening leaves before it is used again; blame crashes on requests; split forward

The quarantine was consulted but never told of crashes: a broken connection now starts a check, and only a refused connection right afterwards proves a crash.

--- a/crates/mgw-fleet/src/plan/intent.rs
+++ b/crates/mgw-fleet/src/plan/intent.rs
@@ -78,7 +78,8 @@
     since: Instant,
     /// When an order was last sent.
     ordered: Instant,
-    /// Orders to open that were not answered; they may be carried out later.
+    /// Orders to open that may still take effect: those that were not answered, and one whose effect
+    /// was not seen when the group began to close.
     pub(super) unanswered: u32,
 }
 
@@ -185,6 +186,11 @@
                 Fate::Keep => true,
                 Fate::Enter(phase, cause) => {
                     self.note(&intent.name, format_smolstr!("{phase:?}: {cause}"));
+                    let is_doubtful = matches!(
+                        (intent.phase, phase),
+                        (Phase::Opening, Phase::Closing { .. }) | (Phase::Open, Phase::Joining)
+                    );
+                    intent.unanswered += u32::from(is_doubtful);
                     (intent.phase, intent.since) = (phase, view.now);
                     let is_seen = matches!(phase, Phase::Open | Phase::Closing { .. });
                     self.moves += u64::from(is_seen);
--- a/crates/mgw-fleet/tests/common/mod.rs
+++ b/crates/mgw-fleet/tests/common/mod.rs
@@ -96,6 +96,8 @@
     pub now: Instant,
     /// Whether orders to open are neither carried out nor answered.
     pub loses_opens: bool,
+    /// Whether heads answer orders to open without an effect yet.
+    pub ignores_opens: bool,
     /// All orders that were given.
     pub orders: Vec<Command>,
 }
@@ -111,6 +113,7 @@
             silent: Vec::new(),
             now: at(10_000),
             loses_opens: false,
+            ignores_opens: false,
             orders: Vec::new(),
         };
         for domain in 0..domains {
@@ -148,7 +151,10 @@
                 match action {
                     Action::Order(command) => {
                         let is_open = matches!(command.order, Order::Open { .. });
-                        if is_open && self.loses_opens {
+                        if is_open && self.ignores_opens {
+                            planner.answered(&command);
+                            self.orders.push(command);
+                        } else if is_open && self.loses_opens {
                             self.orders.push(command);
                         } else {
                             planner.answered(&command);
--- a/crates/mgw-fleet/tests/plan.rs
+++ b/crates/mgw-fleet/tests/plan.rs
@@ -223,3 +223,27 @@
     let join = place(|order| matches!(order, Order::Join { .. }));
     assert!(join.is_none_or(|join| leave < join), "{:?}", world.orders);
 }
+
+/// Guards against a head that opens just after it was ordered to close: it needs a while to open,
+/// reports until then that it does not serve, and was taken for closed (seen as an instance that
+/// joined while its old group was open).
+#[test]
+fn a_head_that_is_opening_leaves_before_it_is_used_again() {
+    let mut world = World::new(1, 4);
+    world.demand.insert(("engines".into(), SMALL.into()), 0.0);
+    world.ignores_opens = true;
+    let mut planner = Planner::new(5);
+    world.run(&mut planner, 900);
+    let head = world.orders.iter().find(|it| matches!(it.order, Order::Open { .. }));
+    let head = head.expect("an order to open").instance.clone();
+    let other = world.records.iter().map(|(id, _)| id.clone()).find(|id| *id != head);
+    world.silent.push(other.expect("another member"));
+    world.orders.clear();
+    world.run(&mut planner, 4_000);
+    let place = |wanted: fn(&Order) -> bool| {
+        world.orders.iter().position(|it| it.instance == head && wanted(&it.order))
+    };
+    let leave = place(|order| matches!(order, Order::Leave { .. })).expect("it leaves");
+    let join = place(|order| matches!(order, Order::Join { .. }));
+    assert!(join.is_none_or(|join| leave < join), "{:?}", world.orders);
+}
--- /dev/null
+++ b/crates/mgw-gateway/src/blame.rs
@@ -0,0 +1,77 @@
+//! Crashes of servers, blamed on the requests that were there.
+//!
+//! A connection that breaks proves no crash: answers are lost and links reset. Only if nobody listens
+//! at the server's address right afterwards has its process ended.
+
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use mgw_base::time::Instant;
+use mgw_event::Kind;
+use mgw_event::event::Body;
+use mgw_fleet::roster::Id;
+use mgw_route::quarantine::Flight;
+
+use crate::clock;
+use crate::connection::Connection;
+use crate::gate::Gate;
+
+/// Time in which the other connections to a server that crashed break, too.
+const GATHER: Duration = Duration::from_millis(60);
+
+/// Time for a connection to a server that may have crashed.
+const CONNECT: Duration = Duration::from_millis(300);
+
+/// A request whose connection broke without an answer.
+#[derive(Clone, Copy, Debug)]
+pub struct Broken {
+    /// Where it was.
+    pub server: Id,
+    /// The request.
+    pub flight: Flight,
+    /// When its connection broke.
+    pub at: Instant,
+}
+
+/// Takes note of a request whose connection to `server` broke; the first one starts the check.
+pub fn note(gate: &Rc<Gate>, server: Id, address: SocketAddr, flight: Flight) {
+    let now = clock::now();
+    let is_first = gate.with(|state| {
+        let is_first = !state.broken.iter().any(|it| it.server == server);
+        state.broken.push(Broken { server, flight, at: now });
+        is_first
+    });
+    if is_first {
+        let gate = Rc::clone(gate);
+        actix_rt::spawn(async move { check(&gate, server, address).await });
+    }
+}
+
+async fn check(gate: &Gate, server: Id, address: SocketAddr) {
+    tokio::time::sleep(GATHER).await;
+    let connected = Connection::connect(address, CONNECT).await;
+    let has_ended =
+        matches!(&connected, Err(error) if error.kind() == io::ErrorKind::ConnectionRefused);
+    let now = clock::now();
+    let is_blamed = gate.with(|state| {
+        let (here, others): (Vec<Broken>, Vec<Broken>) =
+            std::mem::take(&mut state.broken).into_iter().partition(|it| it.server == server);
+        state.broken = others;
+        if !has_ended {
+            return false;
+        }
+        let flights: Vec<Flight> = here.iter().map(|it| it.flight).collect();
+        let blames = state.quarantine.crash(&flights, now);
+        let name = state.roster.get(server).map(|it| it.id.clone()).unwrap_or_default();
+        let text = format!("{} of {} requests blamed", blames.len(), flights.len());
+        state.journal.record(Body::new(Kind::CrashBlamed).instance(&name).text(text));
+        state.blame(blames);
+        true
+    });
+    if is_blamed {
+        // The other entries learn of it with the next heartbeat, which is sent now.
+        gate.beat.notify_one();
+    }
+}
--- a/crates/mgw-gateway/src/forward.rs
+++ b/crates/mgw-gateway/src/forward.rs
@@ -1,5 +1,9 @@
 //! One request of a caller: admission, placement, attempts at servers, and the answer.
 
+mod admit;
+mod answer;
+mod attempt;
+
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -7,32 +11,27 @@
 use mgw_base::time::Instant;
 use mgw_event::Kind as EventKind;
 use mgw_event::event::Body;
-use mgw_fleet::config::{Config, Holder, Kind, Route};
+use mgw_fleet::config::{Config, Kind, Route};
 use mgw_fleet::place::{self, Candidate};
 use mgw_fleet::roster::{Id, Phase};
 use mgw_fleet::share;
-use mgw_http::body::{Decoder, Framing};
 use mgw_http::event::Splitter;
-use mgw_http::head::{self, Request, Response};
-use mgw_http::write;
-use mgw_route::quarantine::{self, Verdict};
+use mgw_http::head::{Request, Response};
+use mgw_route::quarantine::Flight;
 use mgw_route::retry;
 use platform::header;
 use rand::Rng;
 use smol_str::SmolStr;
 use tokio::sync::Notify;
 
+use crate::blame;
 use crate::clock;
 use crate::connection::Connection;
 use crate::exchange::{Fault, Outcome};
-use crate::flight::{Alarm, Flight, Ticket, Wait};
-use crate::gate::{Gate, State};
-use crate::pool;
+use crate::flight::{Alarm, Ticket, Wait};
+use crate::gate::Gate;
 use crate::reply::{self, Cause};
 
-/// Time for a connection to a server.
-const CONNECT: Duration = Duration::from_millis(450);
-
 /// Connections to different servers that are tried for one request.
 const CONNECTS: usize = 4;
 
@@ -42,37 +41,16 @@
 /// How long new requests avoid a target that stands still.
 pub const AVOID_STALLED: Duration = Duration::from_millis(1_500);
 
-/// Time that is left for the answer to reach the caller before it gives up.
-const RETURN: Duration = Duration::from_millis(15);
-
-/// Deadline of requests that state none.
-const DEADLINE: Duration = Duration::from_secs(30);
-
 /// The least time that is left for another attempt to be worth while.
 const ATTEMPT: Duration = Duration::from_millis(60);
 
-/// Time for the first event of a stream after which another group is asked.
-const FIRST_EVENT: Duration = Duration::from_millis(1_300);
-
 /// Time for the next event of a stream after which another group is asked although other streams
 /// of the group go on.
 const NEXT_EVENT: Duration = Duration::from_millis(1_500);
 
-/// Objectives that a server of a plain service gets before another one is asked.
-const PATIENCE: u32 = 2;
-
 /// Longer than any request.
 const FOREVER: Duration = Duration::from_secs(86_400);
 
-/// Largest head of a server's answer in bytes.
-const HEAD: usize = 32 << 10;
-
-/// Largest body of an answer that is not a stream, in bytes.
-const ANSWER: usize = 16 << 20;
-
-/// Answers to other requests that are passed over on one connection.
-const FOREIGN: usize = 2;
-
 /// Requests that may wait at a group beyond its slots.
 const GROUP_WAITING: f64 = 3.0;
 
@@ -103,7 +81,7 @@
 
 /// A request that was admitted.
 struct Job<'a> {
-    gate: &'a Gate,
+    gate: &'a Rc<Gate>,
     request: &'a Request,
     body: Bytes,
     caller: header::Caller,
@@ -133,6 +111,9 @@
     /// Whether this is the last request of the caller's connection.
     is_last: bool,
     first_event: Option<Instant>,
+    /// Hash for blame.
+    fingerprint: u128,
+    /// Whether it was in flight at a server that crashed.
     suspect: bool,
     last_target: SmolStr,
     /// Requests that were probably at the last target when it was chosen.
@@ -143,7 +124,7 @@
 
 /// Serves a request whose body has arrived.
 pub async fn run(
-    gate: &Gate,
+    gate: &Rc<Gate>,
     connection: &mut Connection,
     request: &Request,
     body: Bytes,
@@ -152,7 +133,7 @@
 ) -> Ending {
     let caller = header::caller(&request.fields);
     let attempt = caller.attempt.clone();
-    match admit(gate, request, body, caller, arrived, is_last) {
+    match admit::admit(gate, request, body, caller, arrived, is_last) {
         Ok(mut job) => {
             let ending = job.run(connection).await;
             gate.with(|state| state.flights.remove(job.ticket));
@@ -186,114 +167,6 @@
     }
 }
 
-/// Decides whether a request may be served, from the configuration alone.
-fn admit<'a>(
-    gate: &'a Gate,
-    request: &'a Request,
-    body: Bytes,
-    caller: header::Caller,
-    arrived: Instant,
-    is_last: bool,
-) -> Result<Job<'a>, Cause> {
-    let config = gate.config().ok_or(Cause::NoConfig)?;
-    let host = request.fields.text("host").ok_or(Cause::Malformed)?;
-    let covers = gate.with(|state| state.covers_keys(gate.settings.bounds.revocation, arrived));
-    let Some(route) = config.route(host, request.path()) else {
-        return Err(if covers { Cause::NoRoute } else { Cause::StaleConfig });
-    };
-    let place = config.routes().iter().position(|it| std::ptr::eq(it, route)).unwrap_or(0);
-    if config.needs_key(route) && !covers {
-        return Err(Cause::StaleConfig);
-    }
-    let (team, rank) = match config.holder(route, caller.key.as_deref()) {
-        Holder::Team(team) => (Some(team.name.clone()), team.priority),
-        Holder::Anyone => (None, None),
-        Holder::Unknown => return Err(Cause::UnknownKey),
-    };
-    let priority = rank.unwrap_or(route.priority).min(9);
-    let whole = caller.deadline.unwrap_or(DEADLINE).min(route.timeout);
-    let deadline = arrived + whole.saturating_sub(RETURN);
-    if gate.leave.get().is_some_and(|leave| !leave.takes(deadline, arrived)) {
-        return Err(Cause::Leaving);
-    }
-    let who = team.clone().or(caller.key.clone()).unwrap_or_default();
-    let fingerprint = quarantine::fingerprint(&who, request.target(), &body);
-    let wake = Rc::new(Notify::new());
-    let (service, suspect, ticket) = gate.with(|state| {
-        let suspect = match state.quarantine.check(fingerprint, arrived) {
-            Verdict::Clear => false,
-            Verdict::Suspect => true,
-            Verdict::Quarantined { .. } => return Err(Cause::Quarantined),
-        };
-        let service = draw_service(&route.services, state);
-        if let Some(work) = instance_seconds(&config, &service, &caller) {
-            let key = (service.clone(), caller.model.clone().unwrap_or_default());
-            *state.asked.entry(key, || 0.0) += work;
-        }
-        let ticket = state.flights.insert(Flight {
-            deadline,
-            target: None,
-            wait: Wait::Nothing,
-            progress: arrived,
-            patience: FOREVER,
-            alarm: None,
-            wake: Rc::clone(&wake),
-            fingerprint,
-            is_suspect: suspect,
-        });
-        Ok((service, suspect, ticket))
-    })?;
-    Ok(Job {
-        gate,
-        request,
-        body,
-        caller,
-        config: Rc::clone(&config),
-        route: place,
-        service,
-        team,
-        priority,
-        arrived,
-        deadline,
-        ticket,
-        wake,
-        tried: Vec::new(),
-        attempts: 0,
-        connects: 0,
-        may_have_run: false,
-        is_sent: false,
-        is_drawn: false,
-        splitter: Splitter::default(),
-        is_started: false,
-        is_last,
-        first_event: None,
-        suspect,
-        last_target: SmolStr::default(),
-        expected: 0.0,
-        spare: None,
-    })
-}
-
-/// Time that a request takes of the instances of a group.
-fn instance_seconds(config: &Config, service: &str, caller: &header::Caller) -> Option<f64> {
-    let engine = config.services.get(&SmolStr::new(service))?.engine.as_ref()?;
-    let model = engine.model(caller.model.as_deref()?)?;
-    let (prompt, answer) = caller.work()?;
-    Some(engine.work(model, prompt, answer) * model.size as f64)
-}
-
-fn draw_service(services: &[(SmolStr, u32)], state: &mut State) -> SmolStr {
-    let total: u32 = services.iter().map(|(_, weight)| weight).sum();
-    let mut point = if total > 0 { state.random.random_range(0..total) } else { 0 };
-    for (service, weight) in services {
-        match point.checked_sub(*weight) {
-            Some(rest) => point = rest,
-            None => return service.clone(),
-        }
-    }
-    services.first().map(|(service, _)| service.clone()).unwrap_or_default()
-}
-
 impl Job<'_> {
     fn route(&self) -> &Route {
         &self.config.routes()[self.route]
@@ -418,354 +291,6 @@
         })
     }
 
-    /// Sends the request to `target` and takes the answer.
-    async fn attempt(
-        &mut self,
-        caller: &mut Connection,
-        target: &Target,
-    ) -> Result<Outcome, Fault> {
-        self.gate.with(|state| {
-            if let Some(load) = state.roster.load_mut(target.id) {
-                load.in_flight += 1;
-            }
-        });
-        self.tried.push(target.id);
-        self.is_sent = false;
-        let result = self.exchange(caller, target).await;
-        self.watch(None, Wait::Nothing, FOREVER);
-        self.gate.with(|state| {
-            if let Some(load) = state.roster.load_mut(target.id) {
-                load.in_flight = load.in_flight.saturating_sub(1);
-            }
-        });
-        result
-    }
-
-    async fn exchange(
-        &mut self,
-        caller: &mut Connection,
-        target: &Target,
-    ) -> Result<Outcome, Fault> {
-        let mut connection = self.connect(caller, target).await?;
-        self.attempts += 1;
-        let now = clock::now();
-        let is_first = self.attempts == 1;
-        self.gate.with(|state| {
-            if is_first {
-                state.retries.request(&self.service, now);
-            }
-        });
-        let patience = match self.route().kind {
-            Kind::Single | Kind::Stream => FOREVER,
-            Kind::Idempotent => (self.route().objective * PATIENCE).max(ATTEMPT),
-            Kind::Resumable => FIRST_EVENT,
-        };
-        self.watch(Some(target.id), Wait::Answer, patience);
-        let output = self.encode(target, now);
-        let is_sent = self.send(caller, &mut connection, &output).await?;
-        let (response, answer) = self.response(caller, &mut connection).await?;
-        self.gate.with(|state| {
-            let now = clock::now();
-            let Some(load) = state.roster.load_mut(target.id) else { return };
-            load.trust();
-            if let Some(requests) = answer.requests {
-                load.report(requests, now);
-            }
-            let is_failure = answer.is_not_run || response.status >= 500;
-            load.result(is_failure, now);
-        });
-        if answer.is_not_run {
-            let status = response.status;
-            self.drain(connection, target, &response, is_sent).await;
-            return Err(Fault::NotRun { status });
-        }
-        let is_stream = response.is_success() && self.route().kind.is_stream();
-        match is_stream {
-            true => self.stream(caller, connection, target, response, is_sent).await,
-            false => self.whole(caller, connection, target, response, is_sent).await,
-        }
-    }
-
-    async fn connect(
-        &mut self,
-        caller: &mut Connection,
-        target: &Target,
-    ) -> Result<Connection, Fault> {
-        let now = clock::now();
-        if let Some(connection) = self.gate.with(|state| state.pool.take(target.id, now)) {
-            return Ok(connection);
-        }
-        self.gate.count("connections", "opened");
-        let connecting = Connection::connect(target.address, CONNECT);
-        self.wait(caller, connecting).await?.map_err(|_| Fault::Connect)
-    }
-
-    fn encode(&self, target: &Target, now: Instant) -> BytesMut {
-        let mut output = BytesMut::with_capacity(1_024 + self.body.len());
-        let left = Duration::from_micros(self.deadline.as_micros().saturating_sub(now.as_micros()));
-        let forward = header::Forward {
-            deadline: left,
-            server: &target.name,
-            team: self.team.as_deref(),
-            last_event: self.splitter.last().or(self.caller.last_event),
-            priority: Some(self.priority),
-            length: self.body.len(),
-        };
-        header::forward(&mut output, self.request, &forward);
-        output.extend_from_slice(&self.body);
-        output
-    }
-
-    async fn send(
-        &mut self,
-        caller: &mut Connection,
-        connection: &mut Connection,
-        output: &[u8],
-    ) -> Result<bool, Fault> {
-        self.is_sent = true;
-        self.wait(caller, connection.send(output)).await?.map_err(|_| Fault::Broken)
-    }
-
-    /// The head of the answer to this request; answers to others are passed over.
-    async fn response(
-        &mut self,
-        caller: &mut Connection,
-        connection: &mut Connection,
-    ) -> Result<(Response, header::Answer), Fault> {
-        for _ in 0..=FOREIGN {
-            let response = loop {
-                match head::response(&mut connection.input, HEAD) {
-                    Ok(Some(response)) if response.status >= 200 => break response,
-                    Ok(Some(_)) => {}
-                    Ok(None) => self.read(caller, connection).await?,
-                    Err(_) => return Err(Fault::Malformed),
-                }
-            };
-            let answer = header::answer(&response);
-            match &answer.attempt {
-                Some(attempt) if *attempt != self.caller.attempt => {
-                    self.log(EventKind::AnswerDiscarded, &format!("answer to {attempt}"));
-                    let mut decoder = Decoder::new(response.framing);
-                    if response.framing == Framing::Close {
-                        return Err(Fault::Malformed);
-                    }
-                    let mut dropped = BytesMut::new();
-                    while !decoder.is_done() {
-                        decoder
-                            .decode(&mut connection.input, &mut dropped)
-                            .map_err(|_| Fault::Malformed)?;
-                        dropped.clear();
-                        if !decoder.is_done() {
-                            self.read(caller, connection).await?;
-                        }
-                    }
-                }
-                _ => return Ok((response, answer)),
-            }
-        }
-        Err(Fault::Malformed)
-    }
-
-    /// Reads more of an answer; the end of the connection is a fault.
-    async fn read(
-        &mut self,
-        caller: &mut Connection,
-        connection: &mut Connection,
-    ) -> Result<(), Fault> {
-        match self.wait(caller, connection.read()).await? {
-            Ok(0) | Err(_) => Err(Fault::Broken),
-            Ok(_) => Ok(()),
-        }
-    }
-
-    /// Takes a whole answer that is not a stream.
-    async fn whole(
-        &mut self,
-        caller: &mut Connection,
-        mut connection: Connection,
-        target: &Target,
-        response: Response,
-        is_sent: bool,
-    ) -> Result<Outcome, Fault> {
-        let framing = match self.request.method() {
-            "HEAD" => Framing::Length(0),
-            _ => response.framing,
-        };
-        let mut decoder = Decoder::new(framing);
-        let mut body = BytesMut::new();
-        loop {
-            decoder.decode(&mut connection.input, &mut body).map_err(|_| Fault::Malformed)?;
-            if decoder.is_done() {
-                break;
-            }
-            if body.len() > ANSWER {
-                return Err(Fault::Malformed);
-            }
-            match self.wait(caller, connection.read()).await? {
-                Ok(0) => decoder.end().map_err(|_| Fault::Broken)?,
-                Ok(_) => {}
-                Err(_) => return Err(Fault::Broken),
-            }
-        }
-        self.keep(connection, target, &response, is_sent);
-        Ok(Outcome::Answer(response, body))
-    }
-
-    /// Passes a stream on as it arrives.
-    async fn stream(
-        &mut self,
-        caller: &mut Connection,
-        mut connection: Connection,
-        target: &Target,
-        response: Response,
-        is_sent: bool,
-    ) -> Result<Outcome, Fault> {
-        let mut decoder = Decoder::new(response.framing);
-        let mut body = BytesMut::new();
-        let mut output = BytesMut::new();
-        loop {
-            decoder.decode(&mut connection.input, &mut body).map_err(|_| Fault::Malformed)?;
-            let mut events = BytesMut::new();
-            self.splitter.push(&mut body, &mut events);
-            if decoder.is_done() && response.framing == Framing::Close && self.splitter.is_partial()
-            {
-                return Err(Fault::Broken);
-            }
-            if decoder.is_done() {
-                events.unsplit(self.splitter.take_partial());
-            }
-            if !events.is_empty() || decoder.is_done() {
-                self.pass(&mut output, &response, &events, decoder.is_done());
-                let written = self.write(caller, &output).await;
-                output.clear();
-                written?;
-                self.progress(target.id);
-            }
-            if decoder.is_done() {
-                self.keep(connection, target, &response, is_sent);
-                return Ok(Outcome::Streamed);
-            }
-            match self.wait(caller, connection.read()).await? {
-                Ok(0) => decoder.end().map_err(|_| Fault::Broken)?,
-                Ok(_) => {}
-                Err(_) => return Err(Fault::Broken),
-            }
-        }
-    }
-
-    /// Appends events for the caller, with the head of the answer before the first ones.
-    fn pass(&mut self, output: &mut BytesMut, response: &Response, events: &[u8], is_end: bool) {
-        let is_chunked = self.request.is_current;
-        if !self.is_started {
-            self.is_started = true;
-            self.first_event = Some(clock::now());
-            self.write_head(output, response, None);
-        }
-        match is_chunked {
-            true => write::chunk(output, events),
-            false => output.extend_from_slice(events),
-        }
-        if is_end && is_chunked {
-            output.extend_from_slice(write::LAST_CHUNK);
-        }
-    }
-
-    async fn write(&mut self, caller: &mut Connection, output: &[u8]) -> Result<(), Fault> {
-        let wake = Rc::clone(&self.wake);
-        let deadline = self.deadline;
-        tokio::select! {
-            biased;
-            written = caller.write(output) => written.map_err(|_| Fault::CallerGone),
-            () = async {
-                loop {
-                    wake.notified().await;
-                    if clock::now() >= deadline {
-                        return;
-                    }
-                }
-            } => Err(Fault::Deadline),
-        }
-    }
-
-    /// Appends the head of a server's answer; without a length the body is chunked.
-    fn write_head(&self, output: &mut BytesMut, response: &Response, length: Option<usize>) {
-        write::status(output, response.status);
-        let fields = response.fields.iter().filter(|(name, _)| header::is_passed_back(name));
-        fields.for_each(|(name, value)| write::field(output, name, value));
-        match length {
-            Some(length) => write::number_field(output, "Content-Length", length as u64),
-            None if self.request.is_current => {
-                write::field(output, b"Transfer-Encoding", b"chunked");
-            }
-            None => {}
-        }
-        if self.ending() == Ending::Close {
-            write::field(output, b"Connection", b"close");
-        }
-        output.extend_from_slice(b"\r\n");
-    }
-
-    fn ending(&self) -> Ending {
-        match self.is_last || !self.request.is_current {
-            true => Ending::Close,
-            false => Ending::Keep,
-        }
-    }
-
-    /// Passes a whole answer on.
-    async fn deliver(
-        &mut self,
-        caller: &mut Connection,
-        response: Response,
-        body: BytesMut,
-    ) -> Ending {
-        let mut output = BytesMut::with_capacity(512 + body.len());
-        self.write_head(&mut output, &response, Some(body.len()));
-        output.extend_from_slice(&body);
-        self.is_started = true;
-        self.first_event = Some(clock::now());
-        let written = self.write(caller, &output).await;
-        let label = if response.is_success() { "answered" } else { "server_error" };
-        self.finish(label, response.status);
-        match written {
-            Ok(()) => self.ending(),
-            Err(_) => Ending::Close,
-        }
-    }
-
-    /// Ends a request that no server answered.
-    async fn give_up(&mut self, caller: &mut Connection, cause: Cause) -> Ending {
-        if let Some((response, body)) = self.spare.take() {
-            return self.deliver(caller, response, body).await;
-        }
-        if self.is_started {
-            self.log(EventKind::RequestBroken, cause.name());
-            self.gate.count("requests", "cut");
-            return Ending::Close;
-        }
-        let kind = match self.may_have_run {
-            true => EventKind::RequestBroken,
-            false => EventKind::RequestRefused,
-        };
-        self.log(kind, cause.name());
-        let spread = self.gate.with(|state| {
-            state.metrics.count("refused", cause.name());
-            state.random.random::<f64>()
-        });
-        let mut output = BytesMut::new();
-        reply::write(
-            &mut output,
-            cause,
-            &self.caller.attempt,
-            spread,
-            self.ending() == Ending::Close,
-        );
-        match self.write(caller, &output).await {
-            Ok(()) => self.ending(),
-            Err(_) => Ending::Close,
-        }
-    }
-
     /// What the caller is told of a last fault.
     fn cause(&self, fault: Fault) -> Cause {
         match fault {
@@ -781,6 +306,10 @@
         self.may_have_run |= self.is_sent && fault.may_have_run();
         let now = clock::now();
         self.splitter.drop_partial();
+        if fault == Fault::Broken && self.is_sent {
+            let flight = Flight { fingerprint: self.fingerprint, suspect: self.suspect };
+            blame::note(self.gate, target.id, target.address, flight);
+        }
         self.gate.with(|state| {
             if matches!(fault, Fault::Connect | Fault::Broken) {
                 state.pool.drop_server(target.id);
@@ -891,32 +420,6 @@
         self.watch(Some(target), Wait::Event, patience);
     }
 
-    /// Keeps the connection of a finished exchange if it is sound.
-    fn keep(&self, connection: Connection, target: &Target, response: &Response, is_sent: bool) {
-        let is_sound = is_sent && response.keeps_alive() && connection.input.is_empty();
-        if is_sound {
-            let timeout = pool::keep_alive(response);
-            let now = clock::now();
-            self.gate.with(|state| state.pool.keep(target.id, connection, timeout, now));
-        }
-    }
-
-    /// Takes the rest of a refusal that has arrived, so that the connection can be kept.
-    async fn drain(
-        &self,
-        mut connection: Connection,
-        target: &Target,
-        response: &Response,
-        is_sent: bool,
-    ) {
-        let mut decoder = Decoder::new(response.framing);
-        let mut dropped = BytesMut::new();
-        let decoded = decoder.decode(&mut connection.input, &mut dropped);
-        if decoded.is_ok() && decoder.is_done() {
-            self.keep(connection, target, response, is_sent);
-        }
-    }
-
     fn finish(&self, label: &'static str, status: u16) {
         let now = clock::now();
         let whole = now.since(self.arrived);
--- /dev/null
+++ b/crates/mgw-gateway/src/forward/answer.rs
@@ -0,0 +1,189 @@
+//! Passing answers on to the caller.
+
+use std::rc::Rc;
+
+use bytes::BytesMut;
+use mgw_event::Kind as EventKind;
+use mgw_http::body::{Decoder, Framing};
+use mgw_http::head::Response;
+use mgw_http::write;
+use platform::header;
+use rand::Rng;
+
+use crate::clock;
+use crate::connection::Connection;
+use crate::exchange::{Fault, Outcome};
+use crate::forward::{Ending, Job, Target};
+use crate::reply::{self, Cause};
+
+impl Job<'_> {
+    /// Passes a stream on as it arrives.
+    pub(super) async fn stream(
+        &mut self,
+        caller: &mut Connection,
+        mut connection: Connection,
+        target: &Target,
+        response: Response,
+        is_sent: bool,
+    ) -> Result<Outcome, Fault> {
+        let mut decoder = Decoder::new(response.framing);
+        let mut body = BytesMut::new();
+        let mut output = BytesMut::new();
+        loop {
+            decoder.decode(&mut connection.input, &mut body).map_err(|_| Fault::Malformed)?;
+            let mut events = BytesMut::new();
+            self.splitter.push(&mut body, &mut events);
+            if decoder.is_done() && response.framing == Framing::Close && self.splitter.is_partial()
+            {
+                return Err(Fault::Broken);
+            }
+            if decoder.is_done() {
+                events.unsplit(self.splitter.take_partial());
+            }
+            if !events.is_empty() || decoder.is_done() {
+                self.pass(&mut output, &response, &events, decoder.is_done());
+                let written = self.write(caller, &output).await;
+                output.clear();
+                written?;
+                self.progress(target.id);
+            }
+            if decoder.is_done() {
+                self.keep(connection, target, &response, is_sent);
+                return Ok(Outcome::Streamed);
+            }
+            match self.wait(caller, connection.read()).await? {
+                Ok(0) => decoder.end().map_err(|_| Fault::Broken)?,
+                Ok(_) => {}
+                Err(_) => return Err(Fault::Broken),
+            }
+        }
+    }
+
+    /// Appends events for the caller, with the head of the answer before the first ones.
+    pub(super) fn pass(
+        &mut self,
+        output: &mut BytesMut,
+        response: &Response,
+        events: &[u8],
+        is_end: bool,
+    ) {
+        let is_chunked = self.request.is_current;
+        if !self.is_started {
+            self.is_started = true;
+            self.first_event = Some(clock::now());
+            self.write_head(output, response, None);
+        }
+        match is_chunked {
+            true => write::chunk(output, events),
+            false => output.extend_from_slice(events),
+        }
+        if is_end && is_chunked {
+            output.extend_from_slice(write::LAST_CHUNK);
+        }
+    }
+
+    pub(super) async fn write(
+        &mut self,
+        caller: &mut Connection,
+        output: &[u8],
+    ) -> Result<(), Fault> {
+        let wake = Rc::clone(&self.wake);
+        let deadline = self.deadline;
+        tokio::select! {
+            biased;
+            written = caller.write(output) => written.map_err(|_| Fault::CallerGone),
+            () = async {
+                loop {
+                    wake.notified().await;
+                    if clock::now() >= deadline {
+                        return;
+                    }
+                }
+            } => Err(Fault::Deadline),
+        }
+    }
+
+    /// Appends the head of a server's answer; without a length the body is chunked.
+    pub(super) fn write_head(
+        &self,
+        output: &mut BytesMut,
+        response: &Response,
+        length: Option<usize>,
+    ) {
+        write::status(output, response.status);
+        let fields = response.fields.iter().filter(|(name, _)| header::is_passed_back(name));
+        fields.for_each(|(name, value)| write::field(output, name, value));
+        match length {
+            Some(length) => write::number_field(output, "Content-Length", length as u64),
+            None if self.request.is_current => {
+                write::field(output, b"Transfer-Encoding", b"chunked");
+            }
+            None => {}
+        }
+        if self.ending() == Ending::Close {
+            write::field(output, b"Connection", b"close");
+        }
+        output.extend_from_slice(b"\r\n");
+    }
+
+    pub(super) fn ending(&self) -> Ending {
+        match self.is_last || !self.request.is_current {
+            true => Ending::Close,
+            false => Ending::Keep,
+        }
+    }
+
+    /// Passes a whole answer on.
+    pub(super) async fn deliver(
+        &mut self,
+        caller: &mut Connection,
+        response: Response,
+        body: BytesMut,
+    ) -> Ending {
+        let mut output = BytesMut::with_capacity(512 + body.len());
+        self.write_head(&mut output, &response, Some(body.len()));
+        output.extend_from_slice(&body);
+        self.is_started = true;
+        self.first_event = Some(clock::now());
+        let written = self.write(caller, &output).await;
+        let label = if response.is_success() { "answered" } else { "server_error" };
+        self.finish(label, response.status);
+        match written {
+            Ok(()) => self.ending(),
+            Err(_) => Ending::Close,
+        }
+    }
+
+    /// Ends a request that no server answered.
+    pub(super) async fn give_up(&mut self, caller: &mut Connection, cause: Cause) -> Ending {
+        if let Some((response, body)) = self.spare.take() {
+            return self.deliver(caller, response, body).await;
+        }
+        if self.is_started {
+            self.log(EventKind::RequestBroken, cause.name());
+            self.gate.count("requests", "cut");
+            return Ending::Close;
+        }
+        let kind = match self.may_have_run {
+            true => EventKind::RequestBroken,
+            false => EventKind::RequestRefused,
+        };
+        self.log(kind, cause.name());
+        let spread = self.gate.with(|state| {
+            state.metrics.count("refused", cause.name());
+            state.random.random::<f64>()
+        });
+        let mut output = BytesMut::new();
+        reply::write(
+            &mut output,
+            cause,
+            &self.caller.attempt,
+            spread,
+            self.ending() == Ending::Close,
+        );
+        match self.write(caller, &output).await {
+            Ok(()) => self.ending(),
+            Err(_) => Ending::Close,
+        }
+    }
+}
--- /dev/null
+++ b/crates/mgw-gateway/src/forward/attempt.rs
@@ -0,0 +1,263 @@
+//! One attempt of a request at one server.
+
+use std::time::Duration;
+
+use bytes::BytesMut;
+use mgw_base::time::Instant;
+use mgw_event::Kind as EventKind;
+use mgw_fleet::config::Kind;
+use mgw_http::body::{Decoder, Framing};
+use mgw_http::head::{self, Response};
+use platform::header;
+
+use crate::clock;
+use crate::connection::Connection;
+use crate::exchange::{Fault, Outcome};
+use crate::flight::Wait;
+use crate::forward::{ATTEMPT, FOREVER, Job, Target};
+use crate::pool;
+
+/// Time for a connection to a server.
+const CONNECT: Duration = Duration::from_millis(450);
+
+/// Largest head of a server's answer in bytes.
+const HEAD: usize = 32 << 10;
+
+/// Largest body of an answer that is not a stream, in bytes.
+const ANSWER: usize = 16 << 20;
+
+/// Answers to other requests that are passed over on one connection.
+const FOREIGN: usize = 2;
+
+/// Objectives that a server of a plain service gets before another one is asked.
+const PATIENCE: u32 = 2;
+
+/// Time for the first event of a stream after which another group is asked.
+const FIRST_EVENT: Duration = Duration::from_millis(1_300);
+
+impl Job<'_> {
+    /// Sends the request to `target` and takes the answer.
+    pub(super) async fn attempt(
+        &mut self,
+        caller: &mut Connection,
+        target: &Target,
+    ) -> Result<Outcome, Fault> {
+        self.gate.with(|state| {
+            if let Some(load) = state.roster.load_mut(target.id) {
+                load.in_flight += 1;
+            }
+        });
+        self.tried.push(target.id);
+        self.is_sent = false;
+        let result = self.exchange(caller, target).await;
+        self.watch(None, Wait::Nothing, FOREVER);
+        self.gate.with(|state| {
+            if let Some(load) = state.roster.load_mut(target.id) {
+                load.in_flight = load.in_flight.saturating_sub(1);
+            }
+        });
+        result
+    }
+
+    pub(super) async fn exchange(
+        &mut self,
+        caller: &mut Connection,
+        target: &Target,
+    ) -> Result<Outcome, Fault> {
+        let mut connection = self.connect(caller, target).await?;
+        self.attempts += 1;
+        let now = clock::now();
+        let is_first = self.attempts == 1;
+        self.gate.with(|state| {
+            if is_first {
+                state.retries.request(&self.service, now);
+            }
+        });
+        let patience = match self.route().kind {
+            Kind::Single | Kind::Stream => FOREVER,
+            Kind::Idempotent => (self.route().objective * PATIENCE).max(ATTEMPT),
+            Kind::Resumable => FIRST_EVENT,
+        };
+        self.watch(Some(target.id), Wait::Answer, patience);
+        let output = self.encode(target, now);
+        let is_sent = self.send(caller, &mut connection, &output).await?;
+        let (response, answer) = self.response(caller, &mut connection).await?;
+        self.gate.with(|state| {
+            let now = clock::now();
+            let Some(load) = state.roster.load_mut(target.id) else { return };
+            load.trust();
+            if let Some(requests) = answer.requests {
+                load.report(requests, now);
+            }
+            let is_failure = answer.is_not_run || response.status >= 500;
+            load.result(is_failure, now);
+        });
+        if answer.is_not_run {
+            let status = response.status;
+            self.drain(connection, target, &response, is_sent).await;
+            return Err(Fault::NotRun { status });
+        }
+        let is_stream = response.is_success() && self.route().kind.is_stream();
+        match is_stream {
+            true => self.stream(caller, connection, target, response, is_sent).await,
+            false => self.whole(caller, connection, target, response, is_sent).await,
+        }
+    }
+
+    pub(super) async fn connect(
+        &mut self,
+        caller: &mut Connection,
+        target: &Target,
+    ) -> Result<Connection, Fault> {
+        let now = clock::now();
+        if let Some(connection) = self.gate.with(|state| state.pool.take(target.id, now)) {
+            return Ok(connection);
+        }
+        self.gate.count("connections", "opened");
+        let connecting = Connection::connect(target.address, CONNECT);
+        self.wait(caller, connecting).await?.map_err(|_| Fault::Connect)
+    }
+
+    pub(super) fn encode(&self, target: &Target, now: Instant) -> BytesMut {
+        let mut output = BytesMut::with_capacity(1_024 + self.body.len());
+        let left = Duration::from_micros(self.deadline.as_micros().saturating_sub(now.as_micros()));
+        let forward = header::Forward {
+            deadline: left,
+            server: &target.name,
+            team: self.team.as_deref(),
+            last_event: self.splitter.last().or(self.caller.last_event),
+            priority: Some(self.priority),
+            length: self.body.len(),
+        };
+        header::forward(&mut output, self.request, &forward);
+        output.extend_from_slice(&self.body);
+        output
+    }
+
+    pub(super) async fn send(
+        &mut self,
+        caller: &mut Connection,
+        connection: &mut Connection,
+        output: &[u8],
+    ) -> Result<bool, Fault> {
+        self.is_sent = true;
+        self.wait(caller, connection.send(output)).await?.map_err(|_| Fault::Broken)
+    }
+
+    /// The head of the answer to this request; answers to others are passed over.
+    pub(super) async fn response(
+        &mut self,
+        caller: &mut Connection,
+        connection: &mut Connection,
+    ) -> Result<(Response, header::Answer), Fault> {
+        for _ in 0..=FOREIGN {
+            let response = loop {
+                match head::response(&mut connection.input, HEAD) {
+                    Ok(Some(response)) if response.status >= 200 => break response,
+                    Ok(Some(_)) => {}
+                    Ok(None) => self.read(caller, connection).await?,
+                    Err(_) => return Err(Fault::Malformed),
+                }
+            };
+            let answer = header::answer(&response);
+            match &answer.attempt {
+                Some(attempt) if *attempt != self.caller.attempt => {
+                    self.log(EventKind::AnswerDiscarded, &format!("answer to {attempt}"));
+                    let mut decoder = Decoder::new(response.framing);
+                    if response.framing == Framing::Close {
+                        return Err(Fault::Malformed);
+                    }
+                    let mut dropped = BytesMut::new();
+                    while !decoder.is_done() {
+                        decoder
+                            .decode(&mut connection.input, &mut dropped)
+                            .map_err(|_| Fault::Malformed)?;
+                        dropped.clear();
+                        if !decoder.is_done() {
+                            self.read(caller, connection).await?;
+                        }
+                    }
+                }
+                _ => return Ok((response, answer)),
+            }
+        }
+        Err(Fault::Malformed)
+    }
+
+    /// Reads more of an answer; the end of the connection is a fault.
+    pub(super) async fn read(
+        &mut self,
+        caller: &mut Connection,
+        connection: &mut Connection,
+    ) -> Result<(), Fault> {
+        match self.wait(caller, connection.read()).await? {
+            Ok(0) | Err(_) => Err(Fault::Broken),
+            Ok(_) => Ok(()),
+        }
+    }
+
+    /// Takes a whole answer that is not a stream.
+    pub(super) async fn whole(
+        &mut self,
+        caller: &mut Connection,
+        mut connection: Connection,
+        target: &Target,
+        response: Response,
+        is_sent: bool,
+    ) -> Result<Outcome, Fault> {
+        let framing = match self.request.method() {
+            "HEAD" => Framing::Length(0),
+            _ => response.framing,
+        };
+        let mut decoder = Decoder::new(framing);
+        let mut body = BytesMut::new();
+        loop {
+            decoder.decode(&mut connection.input, &mut body).map_err(|_| Fault::Malformed)?;
+            if decoder.is_done() {
+                break;
+            }
+            if body.len() > ANSWER {
+                return Err(Fault::Malformed);
+            }
+            match self.wait(caller, connection.read()).await? {
+                Ok(0) => decoder.end().map_err(|_| Fault::Broken)?,
+                Ok(_) => {}
+                Err(_) => return Err(Fault::Broken),
+            }
+        }
+        self.keep(connection, target, &response, is_sent);
+        Ok(Outcome::Answer(response, body))
+    }
+
+    /// Keeps the connection of a finished exchange if it is sound.
+    pub(super) fn keep(
+        &self,
+        connection: Connection,
+        target: &Target,
+        response: &Response,
+        is_sent: bool,
+    ) {
+        let is_sound = is_sent && response.keeps_alive() && connection.input.is_empty();
+        if is_sound {
+            let timeout = pool::keep_alive(response);
+            let now = clock::now();
+            self.gate.with(|state| state.pool.keep(target.id, connection, timeout, now));
+        }
+    }
+
+    /// Takes the rest of a refusal that has arrived, so that the connection can be kept.
+    pub(super) async fn drain(
+        &self,
+        mut connection: Connection,
+        target: &Target,
+        response: &Response,
+        is_sent: bool,
+    ) {
+        let mut decoder = Decoder::new(response.framing);
+        let mut dropped = BytesMut::new();
+        let decoded = decoder.decode(&mut connection.input, &mut dropped);
+        if decoded.is_ok() && decoder.is_done() {
+            self.keep(connection, target, response, is_sent);
+        }
+    }
+}
--- a/crates/mgw-gateway/src/front.rs
+++ b/crates/mgw-gateway/src/front.rs
@@ -61,7 +61,7 @@
     Answer(Cause),
 }
 
-async fn serve(gate: &Gate, stream: TcpStream) {
+async fn serve(gate: &Rc<Gate>, stream: TcpStream) {
     let mut connection = Connection::new(stream);
     loop {
         let request = match next(gate, &mut connection).await {
--- a/crates/mgw-gateway/src/gate.rs
+++ b/crates/mgw-gateway/src/gate.rs
@@ -22,6 +22,7 @@
 use smol_str::SmolStr;
 use tokio::sync::Notify;
 
+use crate::blame::Broken;
 use crate::clock;
 use crate::flight;
 use crate::journal::Journal;
@@ -72,6 +73,8 @@
     pub retries: retry::Table,
     /// Requests that crash servers.
     pub quarantine: quarantine::Table,
+    /// Requests whose connections broke, until it is known whether their server crashed.
+    pub broken: Vec<Broken>,
     /// This entry's newest blames.
     pub blames: Vec<entry::Blame>,
     /// Instance seconds that requests took, by service and model, decaying.
@@ -138,6 +141,7 @@
             pool: Pool::default(),
             retries,
             quarantine,
+            broken: Vec::new(),
             blames: Vec::new(),
             asked: Map::default(),
             busy: Map::default(),
--- a/crates/mgw-gateway/src/lib.rs
+++ b/crates/mgw-gateway/src/lib.rs
@@ -5,6 +5,7 @@
 #![deny(missing_docs)]
 #![forbid(unsafe_code)]
 
+pub mod blame;
 pub mod clock;
 pub mod connection;
 pub mod exchange;
