plan: a new planner waits for the orders of the one before

The new planner now reads the list 0.6 s after it took the role; a planner that hears of a newer term stops at once.

--- a/crates/mgw-fleet/src/plan.rs
+++ b/crates/mgw-fleet/src/plan.rs
@@ -22,6 +22,10 @@
 use crate::config::Config;
 use crate::roster::{Roster, Server};
 
+/// Time from taking the role until the list must have been read for the first orders. By then the
+/// orders of the planner before have been carried out, and it has heard that it is replaced.
+const TAKE_OVER: Duration = Duration::from_millis(600);
+
 /// Time without a new server after which the list of a system that starts is taken to be whole.
 const SETTLED: Duration = Duration::from_millis(500);
 
@@ -112,6 +116,8 @@
 #[derive(Clone, Debug)]
 pub struct Planner {
     term: u64,
+    /// When this planner took the role.
+    since: Instant,
     next: u64,
     intents: Vec<Intent>,
     watch: Watch,
@@ -166,10 +172,11 @@
 }
 
 impl Planner {
-    /// A planner of `term` that knows nothing.
-    pub fn new(term: u64) -> Self {
+    /// A planner that takes the role of `term` at `now` and knows nothing.
+    pub fn new(term: u64, now: Instant) -> Self {
         Self {
             term,
+            since: now,
             next: 1,
             intents: Vec::new(),
             watch: Watch::default(),
@@ -187,8 +194,8 @@
 
     /// A planner of the same term after a time in which another one may have planned. It knows
     /// nothing, but uses no epoch a second time: two groups with one name would be taken for one.
-    pub fn renewed(&self) -> Self {
-        Self { next: self.next, moves: self.moves, ..Self::new(self.term) }
+    pub fn renewed(&self, now: Instant) -> Self {
+        Self { next: self.next, moves: self.moves, ..Self::new(self.term, now) }
     }
 
     /// The term.
@@ -239,7 +246,7 @@
 
     /// Compares intentions with reports and returns what to do.
     pub fn tick(&mut self, view: &View<'_>) -> Vec<Action> {
-        if self.is_listing(view) {
+        if self.is_listing(view) || self.is_settling(view) {
             return Vec::new();
         }
         let changing = self.changing();
@@ -251,6 +258,11 @@
         actions
     }
 
+    /// Whether orders of the planner before may not be seen yet.
+    fn is_settling(&self, view: &View<'_>) -> bool {
+        view.quiet.is_none() && view.roster.known() < self.since + TAKE_OVER
+    }
+
     /// Whether the servers of a system that starts are still being listed. Groups that are formed of
     /// the first ones would leave no room for large ones.
     fn is_listing(&mut self, view: &View<'_>) -> bool {
--- a/crates/mgw-fleet/src/roster.rs
+++ b/crates/mgw-fleet/src/roster.rs
@@ -264,6 +264,11 @@
         gone.iter().for_each(|id| self.remove(id, now));
     }
 
+    /// Up to when the list is known.
+    pub fn known(&self) -> Instant {
+        self.reads.1
+    }
+
     /// Notes that the list is read with a call that was sent at `asked`.
     pub fn note_read(&mut self, asked: Instant) {
         self.reads = (self.reads.1, asked);
--- a/crates/mgw-fleet/tests/plan.rs
+++ b/crates/mgw-fleet/tests/plan.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use common::{LARGE, SMALL, World};
+use common::{LARGE, SMALL, World, at};
 use mgw_fleet::plan::{Order, Planner};
 use mgw_fleet::roster::Phase;
 
@@ -10,7 +10,7 @@
 #[test]
 fn fills_domains_with_whole_groups() {
     let mut world = World::new(2, 10);
-    let mut planner = Planner::new(5);
+    let mut planner = Planner::new(5, at(0));
     world.run(&mut planner, 3_000);
     let (large, small) = (world.open(LARGE).len(), world.open(SMALL).len());
     assert_eq!(large * 4 + small * 2, 20, "{large} large and {small} small groups");
@@ -21,7 +21,7 @@
 #[test]
 fn keeps_groups_inside_domains() {
     let mut world = World::new(3, 5);
-    let mut planner = Planner::new(5);
+    let mut planner = Planner::new(5, at(0));
     world.run(&mut planner, 3_000);
     for group in world.open(LARGE).into_iter().chain(world.open(SMALL)) {
         let members = world.members(&group);
@@ -36,7 +36,7 @@
     let mut world = World::new(1, 5);
     world.demand.insert(("engines".into(), LARGE.into()), 1.0);
     world.demand.insert(("engines".into(), SMALL.into()), 0.0);
-    let mut planner = Planner::new(5);
+    let mut planner = Planner::new(5, at(0));
     world.run(&mut planner, 2_000);
     let group = world.open(LARGE).first().cloned().expect("a group");
     let lost = world.members(&group)[2].clone();
@@ -53,7 +53,7 @@
 #[test]
 fn waits_for_a_silent_head() {
     let mut world = World::new(1, 4);
-    let mut planner = Planner::new(5);
+    let mut planner = Planner::new(5, at(0));
     world.demand.insert(("engines".into(), SMALL.into()), 0.0);
     world.run(&mut planner, 2_000);
     let group = world.open(LARGE).first().cloned().expect("a group");
@@ -77,10 +77,10 @@
 #[test]
 fn uses_no_epoch_twice_within_a_term() {
     let mut world = World::new(1, 10);
-    let mut planner = Planner::new(5);
+    let mut planner = Planner::new(5, at(0));
     world.run(&mut planner, 3_000);
     let first: Vec<_> = planner.intents().iter().map(|intent| intent.epoch).collect();
-    let mut renewed = planner.renewed();
+    let mut renewed = planner.renewed(at(0));
     for (_, record) in world.records.iter_mut() {
         record.engine.as_mut().expect("an engine").seat = None;
     }
@@ -94,11 +94,11 @@
 #[test]
 fn adopts_groups_without_orders() {
     let mut world = World::new(2, 10);
-    let mut planner = Planner::new(5);
+    let mut planner = Planner::new(5, at(0));
     world.run(&mut planner, 3_000);
     let before = (world.open(LARGE), world.open(SMALL));
     world.orders.clear();
-    let mut next = Planner::new(9);
+    let mut next = Planner::new(9, at(0));
     world.run(&mut next, 3_000);
     assert_eq!((world.open(LARGE), world.open(SMALL)), before);
     assert!(world.orders.is_empty(), "{:?}", world.orders);
@@ -108,7 +108,7 @@
 #[test]
 fn closes_a_group_whose_member_leaves() {
     let mut world = World::new(1, 6);
-    let mut planner = Planner::new(5);
+    let mut planner = Planner::new(5, at(0));
     world.run(&mut planner, 3_000);
     let group = world.open(LARGE).first().cloned().expect("a group");
     let leaving = world.members(&group)[1].clone();
@@ -126,7 +126,7 @@
     let mut world = World::new(1, 12);
     world.demand.insert(("engines".into(), LARGE.into()), 0.02);
     world.demand.insert(("engines".into(), SMALL.into()), 0.98);
-    let mut planner = Planner::new(5);
+    let mut planner = Planner::new(5, at(0));
     world.run(&mut planner, 3_000);
     let before = world.open(LARGE).len();
     world.demand.insert(("engines".into(), LARGE.into()), 0.9);
@@ -142,13 +142,13 @@
 fn waits_for_heads_that_are_listed_late() {
     let mut world = World::new(1, 4);
     world.demand.insert(("engines".into(), SMALL.into()), 0.0);
-    world.run(&mut Planner::new(5), 2_000);
+    world.run(&mut Planner::new(5, at(0)), 2_000);
     let group = world.open(LARGE).first().cloned().expect("a group");
     let head = world.members(&group)[0].clone();
     world.roster.remove(&head, world.now);
     world.silent.push(head.clone());
     world.orders.clear();
-    let mut next = Planner::new(9);
+    let mut next = Planner::new(9, at(0));
     world.run(&mut next, 1_500);
     assert!(world.orders.is_empty(), "{:?}", world.orders);
     world.silent.clear();
@@ -162,13 +162,13 @@
 fn members_leave_a_head_that_is_not_listed() {
     let mut world = World::new(1, 4);
     world.demand.insert(("engines".into(), SMALL.into()), 0.0);
-    world.run(&mut Planner::new(5), 2_000);
+    world.run(&mut Planner::new(5, at(0)), 2_000);
     let group = world.open(LARGE).first().cloned().expect("a group");
     let head = world.members(&group)[0].clone();
     world.roster.remove(&head, world.now);
     world.silent.push(head);
     world.orders.clear();
-    let mut next = Planner::new(9);
+    let mut next = Planner::new(9, at(0));
     world.run(&mut next, 6_000);
     let is_leave = |order: &Order| matches!(order, Order::Leave { .. });
     assert_eq!(world.orders.iter().filter(|it| is_leave(&it.order)).count(), 3);
@@ -184,7 +184,7 @@
     let mut world = World::new(1, 4);
     world.demand.insert(("engines".into(), SMALL.into()), 0.0);
     world.loses_opens = true;
-    let mut planner = Planner::new(5);
+    let mut planner = Planner::new(5, at(0));
     world.run(&mut planner, 6_000);
     let opens: Vec<_> =
         world.orders.iter().filter(|it| matches!(it.order, Order::Open { .. })).collect();
@@ -207,7 +207,7 @@
     let mut world = World::new(1, 4);
     world.demand.insert(("engines".into(), SMALL.into()), 0.0);
     world.loses_opens = true;
-    world.run(&mut Planner::new(5), 900);
+    world.run(&mut Planner::new(5, at(0)), 900);
     let head = world.orders.iter().find(|it| matches!(it.order, Order::Open { .. }));
     let head = head.expect("an order to open").instance.clone();
     let other = world.records.iter().map(|(id, _)| id.clone()).find(|id| *id != head);
@@ -215,7 +215,7 @@
     world.roster.remove(&other, world.now);
     world.silent.push(other);
     world.orders.clear();
-    world.run(&mut Planner::new(9), 3_000);
+    world.run(&mut Planner::new(9, at(0)), 3_000);
     let place = |wanted: fn(&Order) -> bool| {
         world.orders.iter().position(|it| it.instance == head && wanted(&it.order))
     };
@@ -232,7 +232,7 @@
     let mut world = World::new(1, 4);
     world.demand.insert(("engines".into(), SMALL.into()), 0.0);
     world.ignores_opens = true;
-    let mut planner = Planner::new(5);
+    let mut planner = Planner::new(5, at(0));
     world.run(&mut planner, 900);
     let head = world.orders.iter().find(|it| matches!(it.order, Order::Open { .. }));
     let head = head.expect("an order to open").instance.clone();
@@ -247,3 +247,15 @@
     let join = place(|order| matches!(order, Order::Join { .. }));
     assert!(join.is_none_or(|join| leave < join), "{:?}", world.orders);
 }
+
+/// Guards against a new planner that uses members which the planner before has just ordered into a
+/// group (seen as an instance that joined while its group was open).
+#[test]
+fn a_new_planner_waits_for_the_orders_of_the_one_before() {
+    let mut world = World::new(1, 4);
+    let mut planner = Planner::new(5, world.now);
+    world.run(&mut planner, 450);
+    assert!(world.orders.is_empty(), "{:?}", world.orders);
+    world.run(&mut planner, 600);
+    assert!(!world.orders.is_empty());
+}
--- a/crates/mgw-fleet/tests/roster.rs
+++ b/crates/mgw-fleet/tests/roster.rs
@@ -61,7 +61,7 @@
 #[test]
 fn a_group_serves_only_whole() {
     let mut world = World::new(1, 4);
-    let mut planner = Planner::new(5);
+    let mut planner = Planner::new(5, at(0));
     world.run(&mut planner, 2_000);
     world.publish();
     let groups = group::table(&world.roster, &config());
--- a/crates/mgw-gateway/src/follow.rs
+++ b/crates/mgw-gateway/src/follow.rs
@@ -24,7 +24,8 @@
 /// the others need not wait for that long.
 const SERVERS_PAUSE: Duration = Duration::from_millis(600);
 
-/// The planner's pause between two reads of the servers' entries.
+/// The planner's pause between two reads of the servers' entries, and of the entries' records, which
+/// say whether it was replaced.
 const PLANNER_PAUSE: Duration = Duration::from_millis(400);
 
 /// Pause between two reads of the entries' records.
@@ -69,6 +70,7 @@
             _ if is_starting && (is_planner || self == Topic::Entries) => START_PAUSE,
             Topic::Servers if is_planner => PLANNER_PAUSE,
             Topic::Servers => SERVERS_PAUSE,
+            Topic::Entries if is_planner => PLANNER_PAUSE,
             Topic::Entries => ENTRIES_PAUSE,
         }
     }
--- a/crates/mgw-gateway/src/share.rs
+++ b/crates/mgw-gateway/src/share.rs
@@ -4,6 +4,8 @@
 use std::rc::Rc;
 
 use mgw_base::sorted::Map;
+use mgw_event::Kind;
+use mgw_event::event::Body;
 use mgw_fleet::entry::Phase;
 use mgw_fleet::share::{self, FAN_OUT, Share};
 use rand::seq::SliceRandom;
@@ -49,6 +51,11 @@
             planner.suspect(&name, now);
         }
     }
+    let newer = share.moves.map(|(term, _)| term).filter(|term| state.term() < Some(*term));
+    if newer.is_some() && std::mem::take(&mut state.is_leading) {
+        let text = format!("replaced by term {}", newer.unwrap_or_default());
+        state.journal.record(Body::new(Kind::LeadLost).text(text));
+    }
     let has_moved = share.moves.is_some_and(|moves| state.moves != Some(moves));
     state.moves = share.moves.or(state.moves);
     state.shares.take(share, now);
--- a/crates/mgw-gateway/src/steer.rs
+++ b/crates/mgw-gateway/src/steer.rs
@@ -86,8 +86,8 @@
             Duty::Lead { term } if state.is_leading && state.term() == Some(term) => Some(term),
             Duty::Lead { term } => {
                 let planner = match &state.planner {
-                    Some(known) if known.term() == term => known.renewed(),
-                    Some(_) | None => Planner::new(term),
+                    Some(known) if known.term() == term => known.renewed(now),
+                    Some(_) | None => Planner::new(term, now),
                 };
                 state.planner = Some(planner);
                 state.is_leading = true;
