--- /dev/null
+++ b/crates/mgw-gateway/tests/flight.rs
@@ -0,0 +1,108 @@
+//! The watch over requests in flight.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use mgw_base::time::Instant;
+use mgw_fleet::roster::{Id, Phase, Record, Roster};
+use mgw_gateway::flight::{Alarm, Flight, STALL, Table, Wait};
+use tokio::sync::Notify;
+
+fn at(ms: u64) -> Instant {
+    Instant::from_millis(ms)
+}
+
+fn targets() -> [Id; 2] {
+    let mut roster = Roster::default();
+    for id in ["a", "b"] {
+        let record = Record {
+            service: "s".into(),
+            address: "10.0.0.1:80".parse().expect("an address"),
+            zone: "z".into(),
+            phase: Phase::Ready,
+            slots: 4,
+            born: 1,
+            engine: None,
+        };
+        roster.upsert(id, record, at(0));
+    }
+    ["a", "b"].map(|id| roster.find(id).expect("listed"))
+}
+
+fn flight(target: Id, wait: Wait, progress: u64) -> Flight {
+    Flight {
+        deadline: at(60_000),
+        target: Some(target),
+        wait,
+        progress: at(progress),
+        patience: Duration::from_secs(10),
+        alarm: None,
+        wake: Rc::new(Notify::new()),
+        fingerprint: 1,
+        is_suspect: false,
+    }
+}
+
+/// Runs the watch each 50 ms up to `until`; returns the targets that stand still at the end.
+fn run(table: &mut Table, from: u64, until: u64) -> Vec<Id> {
+    let mut stalled = Vec::new();
+    for ms in (from..=until).step_by(50) {
+        stalled = table.tick(at(ms)).0;
+    }
+    stalled
+}
+
+/// Guards against streams that wait at a group which stands still, and against requests without an
+/// answer yet that wait there with them.
+#[test]
+fn a_target_without_progress_is_left() {
+    let [still, sound] = targets();
+    let mut table = Table::default();
+    let stream = table.insert(flight(still, Wait::Event, 1_000));
+    let waiting = table.insert(flight(still, Wait::Answer, 1_000));
+    let other = table.insert(flight(sound, Wait::Event, 1_300));
+    let stalled = run(&mut table, 1_000, 1_000 + STALL.as_millis() as u64 + 100);
+    assert_eq!(stalled, [still]);
+    let alarm = |table: &mut Table, key| table.get_mut(key).and_then(|flight| flight.alarm);
+    assert_eq!(alarm(&mut table, stream), Some(Alarm::Stalled));
+    assert_eq!(alarm(&mut table, waiting), Some(Alarm::Stalled));
+    assert_eq!(alarm(&mut table, other), None);
+}
+
+/// Guards against a slow stream that is moved although its group goes on.
+#[test]
+fn one_slow_stream_is_no_stall() {
+    let [target, _] = targets();
+    let mut table = Table::default();
+    let slow = table.insert(flight(target, Wait::Event, 1_000));
+    let fast = table.insert(flight(target, Wait::Event, 1_000));
+    for ms in (1_000..2_000).step_by(50) {
+        table.get_mut(fast).expect("in flight").progress = at(ms);
+        let (stalled, _) = table.tick(at(ms));
+        assert!(stalled.is_empty(), "at {ms} ms");
+    }
+    assert_eq!(table.get_mut(slow).and_then(|flight| flight.alarm), None);
+}
+
+/// Guards against requests that are moved because this process did not run for a while.
+#[test]
+fn a_pause_of_the_process_proves_nothing() {
+    let [target, _] = targets();
+    let mut table = Table::default();
+    let stream = table.insert(flight(target, Wait::Event, 1_000));
+    run(&mut table, 1_000, 1_100);
+    let (stalled, pause) = table.tick(at(5_000));
+    assert!(stalled.is_empty());
+    assert_eq!(pause, Some(Duration::from_millis(3_900)));
+    assert_eq!(table.get_mut(stream).and_then(|flight| flight.alarm), None);
+}
+
+/// Guards against requests that are held past their time.
+#[test]
+fn the_deadline_wakes_a_request() {
+    let [target, _] = targets();
+    let mut table = Table::default();
+    let key = table.insert(Flight { deadline: at(1_500), ..flight(target, Wait::Answer, 1_000) });
+    run(&mut table, 1_000, 1_500);
+    assert_eq!(table.get_mut(key).and_then(|flight| flight.alarm), Some(Alarm::Deadline));
+}
