plan: members leave a silent head before they join, in place of a fixed wait

Members are now free when they report that they have left, however long that takes, and usually much sooner than after 4.5 s.

--- a/crates/mgw-fleet/src/plan.rs
+++ b/crates/mgw-fleet/src/plan.rs
@@ -277,7 +277,11 @@
         let changes = |phase: Phase| {
             matches!(
                 phase,
-                Phase::Joining | Phase::Opening | Phase::Closing { .. } | Phase::Leaving
+                Phase::Joining
+                    | Phase::Opening
+                    | Phase::Closing { .. }
+                    | Phase::Leaving
+                    | Phase::Abandoned
             )
         };
         let intents = self.intents.iter().filter(|intent| changes(intent.phase));
--- a/crates/mgw-fleet/src/plan/intent.rs
+++ b/crates/mgw-fleet/src/plan/intent.rs
@@ -9,10 +9,6 @@
 use crate::plan::{Action, Order, Planner, RESEND, View, command};
 use crate::roster::{self, Roster, Seat, Server, Stage};
 
-/// Time after the members of a silent head have left it until they are used again. A head that
-/// lives without contact notices a lost member after 4 s of standing still.
-const HEAD_STALL: Duration = Duration::from_millis(4_500);
-
 /// Time after an outage of the store within which live servers are listed again.
 const RELIST: Duration = Duration::from_millis(2_300);
 
@@ -52,7 +48,8 @@
     Leaving,
     /// The head is not listed, as may happen for a while after an outage of the store.
     Headless,
-    /// The head is out of reach and may still serve; its members have left it.
+    /// The head is out of reach and may still serve; its members are ordered to leave it, and used
+    /// again only when they have.
     Abandoned,
 }
 
@@ -167,8 +164,10 @@
             seen.push(key);
             let Some(intent) = adopted(view, server, seat) else { continue };
             let was_released = self.released.binary_search(&intent.epoch).is_ok();
-            // Members of a released group are free unless its head serves after all.
-            let serves = matches!(intent.phase, Phase::Open | Phase::Closing { .. });
+            // Members of a released group are free unless its head serves after all; the entry of
+            // a head that does not answer is an old one.
+            let serves = matches!(intent.phase, Phase::Open | Phase::Closing { .. })
+                && intent.head().is_some_and(|head| !self.watch.is_lost(&head.id));
             if !was_released || serves {
                 self.note(&intent.name.clone(), format_smolstr!("adopted as {:?}", intent.phase));
                 self.intents.push(intent);
@@ -320,11 +319,22 @@
             (Phase::Headless, _) => Fate::Keep,
             (Phase::Abandoned, _) if self.serving_head(intent, roster).is_some() => Fate::Forget,
             (Phase::Abandoned, _) => {
+                let seated: Vec<&Server> = live
+                    .into_iter()
+                    .filter(|server| {
+                        let seat = server.record.seat();
+                        seat.is_some_and(|seat| intent.holds(seat) && seat.rank > 0)
+                    })
+                    .collect();
                 let is_ended = intent.head().is_some_and(|it| self.has_ended(it, roster));
-                match is_ended || waited > HEAD_STALL {
-                    true => Fate::Release("the head cannot serve any more".into()),
-                    false => Fate::Keep,
+                if is_ended || seated.is_empty() {
+                    return Fate::Release("the members have left the head".into());
+                }
+                if now.since(intent.ordered) > RESEND {
+                    intent.ordered = now;
+                    actions.extend(seated.iter().map(|it| command(it, intent.leave())));
                 }
+                Fate::Keep
             }
         }
     }
