--- a/crates/mgw-fleet/src/plan/intent.rs
+++ b/crates/mgw-fleet/src/plan/intent.rs
@@ -266,9 +266,9 @@
                 Fate::Keep
             }
             (Phase::Open | Phase::Closing { .. }, _) if head.is_none() => {
-                let is_ended = intent.head().is_some_and(|it| self.has_ended(it, roster));
-                match is_ended {
-                    true => Fate::Release("the head's process ended".into()),
+                let is_reborn = intent.head().is_some_and(|it| self.is_reborn(it, roster));
+                match is_reborn {
+                    true => Fate::Release("the head is another process".into()),
                     false => Fate::Enter(Phase::Abandoned, "the head is out of reach".into()),
                 }
             }
@@ -326,8 +326,8 @@
                         seat.is_some_and(|seat| intent.holds(seat) && seat.rank > 0)
                     })
                     .collect();
-                let is_ended = intent.head().is_some_and(|it| self.has_ended(it, roster));
-                if is_ended || seated.is_empty() {
+                let is_reborn = intent.head().is_some_and(|it| self.is_reborn(it, roster));
+                if is_reborn || seated.is_empty() {
                     return Fate::Release("the members have left the head".into());
                 }
                 if now.since(intent.ordered) > RESEND {
@@ -375,11 +375,10 @@
         })
     }
 
-    /// Whether the process of a member has ended for certain.
-    fn has_ended(&self, member: &Member, roster: &Roster) -> bool {
-        let is_reborn =
-            roster.by_id(&member.id).is_some_and(|server| server.record.born != member.born);
-        is_reborn || self.watch.is_ended(&member.id)
+    /// Whether another process runs under a member's id. That nobody listens at its address proves
+    /// nothing: a server that leaves stops to listen while it finishes its requests.
+    fn is_reborn(&self, member: &Member, roster: &Roster) -> bool {
+        roster.by_id(&member.id).is_some_and(|server| server.record.born != member.born)
     }
 
     /// Sends the order that begins a phase.
--- a/crates/mgw-fleet/src/plan/watch.rs
+++ b/crates/mgw-fleet/src/plan/watch.rs
@@ -37,8 +37,6 @@
 struct Instance {
     born: u64,
     failed: u8,
-    /// Proven to have ended.
-    is_refused: bool,
     asked: Option<Instant>,
     suspected: Option<Instant>,
     /// When it last answered a probe.
@@ -57,13 +55,9 @@
         match probe {
             Probe::Alive => {
                 instance.failed = 0;
-                instance.is_refused = false;
                 instance.answered = Some(now);
             }
-            Probe::Refused => {
-                instance.failed = PROBES;
-                instance.is_refused = true;
-            }
+            Probe::Refused => instance.failed = PROBES,
             Probe::Silent => instance.failed = instance.failed.saturating_add(1),
         }
     }
@@ -77,11 +71,6 @@
         self.instances.get(id).is_some_and(|instance| instance.failed >= PROBES)
     }
 
-    /// Whether the process of an instance has ended for certain.
-    pub(super) fn is_ended(&self, id: &SmolStr) -> bool {
-        self.instances.get(id).is_some_and(|instance| instance.is_refused)
-    }
-
     /// The probes that are due.
     ///
     /// Instances of `changing` groups are asked each time, so that the next step is not delayed by
@@ -112,7 +101,6 @@
     let was_heard = instance.asked.is_some_and(|asked| server.heard > asked);
     if !is_late && was_heard {
         instance.failed = 0;
-        instance.is_refused = false;
     }
     let is_suspected = instance.suspected.is_some_and(|at| now.since(at) < SUSPICION)
         && instance.answered.is_none_or(|at| now.since(at) > SUSPICION);
--- a/crates/mgw-fleet/tests/common/mod.rs
+++ b/crates/mgw-fleet/tests/common/mod.rs
@@ -93,6 +93,8 @@
     pub records: Map<SmolStr, Record>,
     /// Instances that neither write entries nor answer.
     pub silent: Vec<SmolStr>,
+    /// Instances that neither write entries nor listen any more.
+    pub refusing: Vec<SmolStr>,
     pub now: Instant,
     /// Whether orders to open are neither carried out nor answered.
     pub loses_opens: bool,
@@ -113,6 +115,7 @@
             demand: Demand::default(),
             records: Map::default(),
             silent: Vec::new(),
+            refusing: Vec::new(),
             now: at(10_000),
             loses_opens: false,
             ignores_opens: false,
@@ -132,7 +135,7 @@
     pub fn publish(&mut self) {
         self.roster.note_read(self.now);
         for (id, record) in self.records.iter() {
-            if !self.silent.contains(id) {
+            if !self.silent.contains(id) && !self.refusing.contains(id) {
                 self.roster.upsert(id, record.clone(), self.now);
             }
         }
@@ -167,7 +170,11 @@
                     }
                     Action::Probe(id) => {
                         let is_silent = self.silent.contains(&id);
-                        let probe = if is_silent { Probe::Silent } else { Probe::Alive };
+                        let probe = match self.refusing.contains(&id) {
+                            true => Probe::Refused,
+                            false if is_silent => Probe::Silent,
+                            false => Probe::Alive,
+                        };
                         planner.probed(&id, probe, self.now);
                         if !is_silent && let Some(record) = self.records.get(&id) {
                             let engine = record.engine.clone().expect("an engine");
@@ -181,7 +188,8 @@
 
     fn carry_out(&mut self, command: Command) {
         self.orders.push(command.clone());
-        if self.silent.contains(&command.instance) {
+        let is_deaf = self.refusing.contains(&command.instance);
+        if is_deaf || self.silent.contains(&command.instance) {
             return;
         }
         let record = self.records.get_mut(&command.instance).expect("a known instance");
--- a/crates/mgw-fleet/tests/plan.rs
+++ b/crates/mgw-fleet/tests/plan.rs
@@ -263,3 +263,23 @@
     world.run(&mut planner, 600);
     assert!(!world.orders.is_empty());
 }
+
+/// Guards against members that join another group while a head that leaves still finishes requests
+/// of theirs: it listens no more, which was taken for the end of its process (seen as an instance
+/// that joined while its group was open).
+#[test]
+fn members_leave_a_head_that_listens_no_more() {
+    let mut world = World::new(1, 4);
+    world.demand.insert(("engines".into(), SMALL.into()), 0.0);
+    let mut planner = Planner::new(5, at(0));
+    world.run(&mut planner, 2_000);
+    let group = world.open(LARGE).first().cloned().expect("a group");
+    let head = world.members(&group)[0].clone();
+    world.records.get_mut(&head).expect("a head").phase = Phase::Draining;
+    world.refusing.push(head);
+    world.orders.clear();
+    world.run(&mut planner, 4_000);
+    let last_leave = world.orders.iter().rposition(|it| matches!(it.order, Order::Leave { .. }));
+    let join = world.orders.iter().position(|it| matches!(it.order, Order::Join { .. }));
+    assert!(last_leave.is_some() && last_leave < join, "{:?}", world.orders);
+}
