--- a/crates/mgw-gateway/src/follow.rs
+++ b/crates/mgw-gateway/src/follow.rs
@@ -24,6 +24,10 @@
 /// the others need not wait for that long.
 const SERVERS_PAUSE: Duration = Duration::from_millis(600);
 
+/// Entries beyond which each reads the servers' entries half as often, and not at each change of a
+/// group: the calls of all entries together are limited and priced.
+pub const FEW_ENTRIES: usize = 16;
+
 /// The planner's pause between two reads of the servers' entries, and of the entries' records, which
 /// say whether it was replaced.
 const PLANNER_PAUSE: Duration = Duration::from_millis(400);
@@ -64,11 +68,12 @@
         }
     }
 
-    fn pause(self, is_planner: bool, is_starting: bool) -> Duration {
+    fn pause(self, is_planner: bool, is_starting: bool, entries: usize) -> Duration {
         match self {
             Topic::Config => Duration::ZERO,
             _ if is_starting && (is_planner || self == Topic::Entries) => START_PAUSE,
             Topic::Servers if is_planner => PLANNER_PAUSE,
+            Topic::Servers if entries > FEW_ENTRIES => SERVERS_PAUSE * 2,
             Topic::Servers => SERVERS_PAUSE,
             Topic::Entries if is_planner => PLANNER_PAUSE,
             Topic::Entries => ENTRIES_PAUSE,
@@ -109,7 +114,8 @@
                 }
                 let is_planner = gate.with(|state| state.is_leading);
                 let is_starting = gate.quiet(clock::now()).is_some();
-                let pause = tokio::time::sleep(topic.pause(is_planner, is_starting));
+                let entries = gate.with(|state| state.entries.serving().count());
+                let pause = tokio::time::sleep(topic.pause(is_planner, is_starting, entries));
                 match topic {
                     Topic::Servers => tokio::select! {
                         () = pause => {}
--- a/crates/mgw-gateway/src/share.rs
+++ b/crates/mgw-gateway/src/share.rs
@@ -12,6 +12,7 @@
 use tokio::net::UdpSocket;
 
 use crate::clock;
+use crate::follow::FEW_ENTRIES;
 use crate::forward::AVOID_STALLED;
 use crate::gate::{Gate, State};
 
@@ -56,7 +57,8 @@
         let text = format!("replaced by term {}", newer.unwrap_or_default());
         state.journal.record(Body::new(Kind::LeadLost).text(text));
     }
-    let has_moved = share.moves.is_some_and(|moves| state.moves != Some(moves));
+    let has_moved = share.moves.is_some_and(|moves| state.moves != Some(moves))
+        && state.entries.serving().count() <= FEW_ENTRIES;
     state.moves = share.moves.or(state.moves);
     state.shares.take(share, now);
     has_moved
