--- a/crates/mgw-gateway/src/follow.rs
+++ b/crates/mgw-gateway/src/follow.rs
@@ -35,7 +35,8 @@
 /// Pause between two reads of the entries' records.
 const ENTRIES_PAUSE: Duration = Duration::from_millis(900);
 
-/// Pause between two reads while the system starts for the first time.
+/// Pause between two reads while the system starts for the first time: of the entries' records
+/// until there is a planner, and then of the servers' entries by the planner.
 const START_PAUSE: Duration = Duration::from_millis(100);
 
 /// Pause after a failed call.
@@ -71,7 +72,8 @@
     fn pause(self, is_planner: bool, is_starting: bool, entries: usize) -> Duration {
         match self {
             Topic::Config => Duration::ZERO,
-            _ if is_starting && (is_planner || self == Topic::Entries) => START_PAUSE,
+            Topic::Entries if is_starting && !is_planner => START_PAUSE,
+            Topic::Servers if is_starting && is_planner => START_PAUSE,
             Topic::Servers if is_planner => PLANNER_PAUSE,
             Topic::Servers if entries > FEW_ENTRIES => SERVERS_PAUSE * 2,
             Topic::Servers => SERVERS_PAUSE,
@@ -113,7 +115,9 @@
                     apply_for_lead(&gate, &mut client, next).await;
                 }
                 let is_planner = gate.with(|state| state.is_leading);
-                let is_starting = gate.quiet(clock::now()).is_some();
+                let is_quiet = gate.quiet(clock::now()).is_some();
+                let has_planner = gate.with(|state| state.entries.term().is_some());
+                let is_starting = is_quiet && (is_planner || !has_planner);
                 let entries = gate.with(|state| state.entries.serving().count());
                 let pause = tokio::time::sleep(topic.pause(is_planner, is_starting, entries));
                 match topic {
