--- a/crates/mgw-fleet/tests/plan.rs
+++ b/crates/mgw-fleet/tests/plan.rs
@@ -6,6 +6,16 @@
 use mgw_fleet::plan::{Order, Planner};
 use mgw_fleet::roster::Phase;
 
+/// Whether an instance was ordered to leave its group before any order to join another one.
+fn leaves_first(world: &World, instance: &str) -> bool {
+    let place = |wanted: fn(&Order) -> bool| {
+        world.orders.iter().position(|it| it.instance == instance && wanted(&it.order))
+    };
+    let leave = place(|order| matches!(order, Order::Leave { .. }));
+    let join = place(|order| matches!(order, Order::Join { .. }));
+    leave.is_some_and(|leave| join.is_none_or(|join| leave < join))
+}
+
 /// Guards against instances that stay idle although they could join a group.
 #[test]
 fn fills_domains_with_whole_groups() {
@@ -220,12 +230,7 @@
     world.silent.push(other);
     world.orders.clear();
     world.run(&mut Planner::new(9, at(0)), 3_000);
-    let place = |wanted: fn(&Order) -> bool| {
-        world.orders.iter().position(|it| it.instance == head && wanted(&it.order))
-    };
-    let leave = place(|order| matches!(order, Order::Leave { .. })).expect("it leaves");
-    let join = place(|order| matches!(order, Order::Join { .. }));
-    assert!(join.is_none_or(|join| leave < join), "{:?}", world.orders);
+    assert!(leaves_first(&world, &head), "{:?}", world.orders);
 }
 
 /// Guards against a head that opens just after it was ordered to close: it needs a while to open,
@@ -244,12 +249,7 @@
     world.silent.push(other.expect("another member"));
     world.orders.clear();
     world.run(&mut planner, 4_000);
-    let place = |wanted: fn(&Order) -> bool| {
-        world.orders.iter().position(|it| it.instance == head && wanted(&it.order))
-    };
-    let leave = place(|order| matches!(order, Order::Leave { .. })).expect("it leaves");
-    let join = place(|order| matches!(order, Order::Join { .. }));
-    assert!(join.is_none_or(|join| leave < join), "{:?}", world.orders);
+    assert!(leaves_first(&world, &head), "{:?}", world.orders);
 }
 
 /// Guards against a new planner that uses members which the planner before has just ordered into a
