--- a/crates/mgw-fleet/src/shutdown.rs
+++ b/crates/mgw-fleet/src/shutdown.rs
@@ -21,17 +21,25 @@
     since: Instant,
     /// When the process ends whatever it holds.
     end: Instant,
+    /// Whether the process ends at once, so that nothing more is taken.
+    is_closed: bool,
 }
 
 impl Shutdown {
     /// A process that got the signal at `now` and is ended by force `grace` later.
     pub fn new(now: Instant, grace: Duration) -> Self {
-        Self { since: now, end: now + grace.saturating_sub(SLACK) }
+        Self { since: now, end: now + grace.saturating_sub(SLACK), is_closed: false }
+    }
+
+    /// The process in its last moments: what arrives between the decision to end and the end would be
+    /// read and not answered, so it is refused.
+    pub fn closed(self) -> Self {
+        Self { is_closed: true, ..self }
     }
 
     /// Whether a request with this deadline is taken: later on, only if it ends in time.
     pub fn takes(&self, deadline: Instant, now: Instant) -> bool {
-        now.since(self.since) < OPEN || deadline < self.end
+        !self.is_closed && (now.since(self.since) < OPEN || deadline < self.end)
     }
 
     /// Whether the process ends now.
--- a/crates/mgw-fleet/tests/shutdown.rs
+++ b/crates/mgw-fleet/tests/shutdown.rs
@@ -26,3 +26,12 @@
     assert!(!shutdown.is_over(false, at(16_600)));
     assert!(shutdown.is_over(false, at(17_500)));
 }
+
+/// Guards against a request that is read between the decision to end and the end of the process, and
+/// never answered (seen on a day on which all machines were stopped in turn while they were busy).
+#[test]
+fn takes_nothing_in_its_last_moments() {
+    let shutdown = Shutdown::new(at(10_000), Duration::from_secs(8));
+    assert!(shutdown.takes(at(17_000), at(16_550)));
+    assert!(!shutdown.closed().takes(at(17_000), at(16_550)));
+}
--- a/crates/mgw-gateway/src/run.rs
+++ b/crates/mgw-gateway/src/run.rs
@@ -99,6 +99,7 @@
     while !shutdown.is_over(gate.with(|state| state.flights.is_empty()), clock::now()) {
         tokio::time::sleep(DRAIN_CHECK).await;
     }
+    gate.shutdown.set(Some(shutdown.closed()));
     gate.with(|state| {
         let text = format!("{} requests cut off", state.flights.len());
         state.journal.record(Body::new(Kind::GatewayStopped).entry(entry).text(text));
