--- a/crates/mgw-gateway/src/feed/follower.rs
+++ b/crates/mgw-gateway/src/feed/follower.rs
@@ -153,9 +153,12 @@
         if gate.with(|state| state.link.is_some_and(|link| link.is_failing(now))) {
             return Err(Error::Stale);
         }
-        let has_role = gate.with(|state| state.is_leading && !state.is_blind);
-        let mut is_preferred = || choose(gate, chooser) == Source::Reader(reader.clone());
-        if has_role || (now.since(since) > STAY && !is_preferred()) {
+        let has_left = match choose(gate, chooser) {
+            // Others may follow this entry now.
+            Source::Store => true,
+            Source::Reader(preferred) => preferred != *reader && now.since(since) > STAY,
+        };
+        if has_left {
             return Err(Error::Left);
         }
     }
