--- a/crates/mgw-event/src/kind.rs
+++ b/crates/mgw-event/src/kind.rs
@@ -214,8 +214,8 @@
     ConfigRejected = 922 "config_rejected" Error [Offset Text] "A version of the configuration could not be read.";
     ConfigStale = 923 "config_stale" Warn [Text] "The configuration may be outdated; requests with keys are refused.";
     ConfigFresh = 924 "config_fresh" Info [Text] "The configuration is known to be current again.";
-    ServerListed = 931 "server_listed" Info [Instance Text] "A server was added to the list or changed its phase.";
-    ServerUnlisted = 932 "server_unlisted" Info [Instance] "A server was removed from the list.";
+    ServerListed = 931 "server_listed" Info [Instance Entry Offset Text] "A server was added to the list or changed its phase. The offset is the end of the list that shows this, the entry is the reader that sent the list; without an entry, this process read the store.";
+    ServerUnlisted = 932 "server_unlisted" Info [Instance Entry Offset Text] "A server was removed from the list. Entry and offset are as in `server_listed`.";
     RecordUnreadable = 933 "record_unreadable" Warn [Instance Text] "A record of the store could not be read and was skipped.";
     LeadTaken = 941 "lead_taken" Info [Entry Offset] "This entry became the planner; the offset is its term.";
     LeadLost = 942 "lead_lost" Info [Entry Text] "This entry is no longer the planner.";
--- a/crates/mgw-gateway/src/feed/follower.rs
+++ b/crates/mgw-gateway/src/feed/follower.rs
@@ -23,7 +23,7 @@
 use crate::connection;
 use crate::feed::{CONNECT_TIMEOUT, Error, STREAM_URI, WINDOW_BYTES, read_message};
 use crate::gateway::{Gateway, State};
-use crate::topics;
+use crate::topics::{self, Origin};
 
 /// Interval of the choice of a source while this entry reads the store itself.
 const SOURCE_CHECK_INTERVAL: Duration = Duration::from_millis(300);
@@ -143,7 +143,7 @@
                         last_response = now;
                     }
                     let has_resigned = gateway.with(|state| {
-                        apply_update(state, message, now);
+                        apply_update(state, reader, message, now);
                         state.refresh_members();
                         state.resign(now)
                     });
@@ -197,12 +197,16 @@
 }
 
 /// Applies a message of the reader. The ages come last, as they hold for the data with the changes.
-fn apply_update(state: &mut State, update: Update, now: Instant) {
+fn apply_update(state: &mut State, reader: &SmolStr, update: Update, now: Instant) {
+    let origin = match update.ages {
+        Some(_) => Origin::Response(reader),
+        None => Origin::Push(reader),
+    };
     if let Some(document) = update.config {
         topics::apply_config(state, document);
     }
     if let Some(servers) = update.servers {
-        apply_servers(state, servers, now);
+        apply_servers(state, servers, origin, now);
     }
     if let Some(members) = update.members {
         apply_members(state, members, now);
@@ -213,11 +217,11 @@
 }
 
 /// Applies changes of the servers. Servers that are not in a whole list are removed.
-fn apply_servers(state: &mut State, servers: Servers, now: Instant) {
+fn apply_servers(state: &mut State, servers: Servers, origin: Origin<'_>, now: Instant) {
     let mut ids: Vec<SmolStr> = Vec::new();
     for (id, record) in servers.changed {
         let id = SmolStr::from(id);
-        topics::upsert_server(state, &id, record, now);
+        topics::upsert_server(state, &id, record, origin, servers.end_offset, now);
         ids.push(id);
     }
     if servers.is_whole {
@@ -225,7 +229,7 @@
         state.roster.retain(&ids, now);
     }
     for id in servers.gone {
-        topics::remove_server(state, &SmolStr::from(id), now);
+        topics::remove_server(state, &SmolStr::from(id), origin, servers.end_offset, now);
     }
     state.servers_end = state.servers_end.max(servers.end_offset);
     state.has_server_list = true;
--- a/crates/mgw-gateway/src/topics.rs
+++ b/crates/mgw-gateway/src/topics.rs
@@ -90,6 +90,38 @@
     }
 }
 
+/// How this entry received a list of servers or changes to it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Origin<'a> {
+    /// A response of the store to this entry's own read.
+    Store,
+    /// A reader's response to a poll of this entry.
+    Response(&'a str),
+    /// A message that a reader sent without being polled.
+    Push(&'a str),
+}
+
+impl Origin<'_> {
+    /// Completes an event about a server in a list that ends at `end_offset`, when the known list
+    /// ends at `known_end`.
+    fn describe(self, event: Body, end_offset: u64, known_end: u64) -> Body {
+        let text = event.text.clone();
+        let separator = if text.is_empty() { "" } else { ", " };
+        let described = |reader: &str, way: &str| {
+            event
+                .clone()
+                .entry(reader)
+                .offset(end_offset)
+                .text(format!("{text}{separator}{way}, known up to {known_end}"))
+        };
+        match self {
+            Origin::Store => described("", "read from the store"),
+            Origin::Response(reader) => described(reader, "response to a poll"),
+            Origin::Push(reader) => described(reader, "pushed"),
+        }
+    }
+}
+
 /// The result of reading a topic once.
 struct Update {
     records: Vec<Record>,
@@ -318,8 +350,8 @@
 fn apply_servers(state: &mut State, update: &Update, now: Instant) {
     for record in &update.records {
         match &record.value {
-            Some(value) => apply_server(state, &record.key, value, now),
-            None => remove_server(state, &record.key, now),
+            Some(value) => apply_server(state, &record.key, value, update.next, now),
+            None => remove_server(state, &record.key, Origin::Store, update.next, now),
         }
     }
     if update.is_snapshot {
@@ -336,9 +368,9 @@
 }
 
 /// Decodes and applies the record of a server.
-fn apply_server(state: &mut State, id: &SmolStr, value: &[u8], now: Instant) {
+fn apply_server(state: &mut State, id: &SmolStr, value: &[u8], end_offset: u64, now: Instant) {
     match platform::server::parse_entry(value) {
-        Ok(entry) => upsert_server(state, id, entry, now),
+        Ok(entry) => upsert_server(state, id, entry, Origin::Store, end_offset, now),
         Err(error) => {
             let event = Body::new(Kind::RecordUnreadable).instance(id).text(error);
             state.journal.record(event);
@@ -347,8 +379,15 @@
 }
 
 /// Adds a server to the roster or updates it. Idle connections to it are closed if it is draining
-/// or has been restarted.
-pub fn upsert_server(state: &mut State, id: &SmolStr, entry: roster::Record, now: Instant) {
+/// or has been restarted. `end_offset` is the end of the list that the record is from.
+pub fn upsert_server(
+    state: &mut State,
+    id: &SmolStr,
+    entry: roster::Record,
+    origin: Origin<'_>,
+    end_offset: u64,
+    now: Instant,
+) {
     let known =
         state.roster.by_id(id).map(|server| (server.record.phase, server.record.started_ms));
     let (phase, started_ms) = (entry.phase, entry.started_ms);
@@ -357,7 +396,8 @@
             "{phase:?}, service {}, address {}, started_ms {started_ms}",
             entry.service, entry.address
         );
-        state.journal.record(Body::new(Kind::ServerListed).instance(id).text(text));
+        let event = Body::new(Kind::ServerListed).instance(id).text(text);
+        state.journal.record(origin.describe(event, end_offset, state.servers_end));
     }
     let key = state.roster.find(id);
     let is_restarted = state.roster.upsert(id, entry, now);
@@ -373,10 +413,16 @@
 }
 
 /// Applies the removal of a server's record. The roster may keep the server for a while.
-pub fn remove_server(state: &mut State, id: &SmolStr, now: Instant) {
+pub fn remove_server(
+    state: &mut State,
+    id: &SmolStr,
+    origin: Origin<'_>,
+    end_offset: u64,
+    now: Instant,
+) {
     if state.roster.find(id).is_some() {
         let event = Body::new(Kind::ServerUnlisted).instance(id);
-        state.journal.record(event);
+        state.journal.record(origin.describe(event, end_offset, state.servers_end));
     }
     state.roster.remove(id, now);
 }
