Do not list removed servers again because one entry lost the store

Cause: an entry whose own calls had failed in the last 2.2 s kept removed servers, as the store may drop entries of live servers in an outage. But a refused call is no outage: the store went on serving the servers and the other entries. And a reader in such doubt told its followers that the server is ready, so an entry that knew of the removal listed the server again; the end of the reader's list was the same or newer, so the check of offsets passed.

Fix: doubt follows from contact to the store, own or through the followed reader: none for more than 2 s, in which live servers cannot lapse yet. A server in doubt counts as removed for the followers. One that had contact all the time knows that it is gone; one that had none doubts on its own account. Reads that are older than the newest known one no longer set its time back.

Removals that follow from a whole list are logged too.

--- a/crates/mgw-fleet/src/roster.rs
+++ b/crates/mgw-fleet/src/roster.rs
@@ -138,7 +138,7 @@
     /// When a list entry last changed the record.
     changed_at: Instant,
     /// Since when the list entry is missing, while the store may have dropped it because of an
-    /// outage.
+    /// outage. For the entries that follow this one, the server is removed.
     pub missing_since: Option<Instant>,
     /// Load of the server as this process knows it.
     pub load: Load,
@@ -147,6 +147,11 @@
 /// Key of a server in the [`Roster`]. A server that restarts under the same id gets a new key.
 pub type ServerKey = Key<Server>;
 
+/// Longest time without contact to the store after which no entry of a live server can have lapsed.
+/// An entry lapses after three heartbeat intervals of 1.2 s, so that the store has to miss at least
+/// two heartbeats of a server.
+const MAX_CONTACT_GAP: Duration = Duration::from_secs(2);
+
 /// Time after an outage of the store within which live servers are listed again.
 const RELIST_TIMEOUT: Duration = Duration::from_millis(2_200);
 
@@ -194,10 +199,11 @@
     /// Increases with each change of a record and each removal. A heartbeat that changes nothing
     /// leaves it as it is.
     revision: u64,
-    /// When the store last failed to answer.
-    last_outage: Option<Instant>,
-    /// When the two newest reads of the server list were sent, the older one first.
-    read_times: (Instant, Instant),
+    /// When a read of the server list succeeded after more than [`MAX_CONTACT_GAP`] without one.
+    regained_at: Option<Instant>,
+    /// When the two newest reads of the server list were sent, the older one first; `None` before
+    /// the first read. They are this entry's own reads or those of the reader that it follows.
+    read_times: Option<(Instant, Instant)>,
     /// The newest removals with the revisions at which they happened, in ascending order.
     removals: Vec<(u64, SmolStr)>,
     /// Revision up to which removals are no longer kept.
@@ -237,19 +243,22 @@
     }
 
     /// Changes since `revision`. All servers are returned if `revision` is 0 or older than the kept
-    /// removals.
+    /// removals. Missing servers count as removed: a receiver that has had contact to the store all
+    /// the time knows that they are gone, and any other one keeps them on its own account.
     pub fn changes(&self, revision: u64) -> Changes {
         let is_whole = revision == 0 || revision < self.compacted_revision;
         let is_new = |server: &&Server| is_whole || server.changed_revision > revision;
         let removals = self.removals.iter().filter(|(at, _)| !is_whole && *at > revision);
+        let is_listed = |server: &&Server| server.missing_since.is_none();
         let record = |server: &Server| (server.id.clone(), server.record.clone());
+        let listed = self.iter().map(|(_, it)| it).filter(is_listed);
         Changes {
             revision: self.revision,
             is_whole,
-            changed: self.iter().map(|(_, it)| it).filter(is_new).map(record).collect(),
+            changed: listed.filter(is_new).map(record).collect(),
             gone: removals
                 .map(|(_, id)| id.clone())
-                .filter(|id| self.servers.by_name(id).is_none())
+                .filter(|id| self.servers.by_name(id).is_none_or(|it| it.missing_since.is_some()))
                 .collect(),
         }
     }
@@ -257,9 +266,23 @@
     /// Removes a server and records the removal for [`Roster::changes`].
     fn delete(&mut self, id: &str) {
         if self.servers.remove(id).is_some() {
-            self.revision += 1;
-            self.removals.push((self.revision, id.into()));
+            self.record_removal(id);
+        }
+    }
+
+    /// Marks a server as missing, if it is not yet, and records a removal for [`Roster::changes`].
+    fn mark_missing(&mut self, id: &str, now: Instant) {
+        let Some(server) = self.servers.by_name_mut(id) else { return };
+        if server.missing_since.is_none() {
+            server.missing_since = Some(now);
+            self.record_removal(id);
         }
+    }
+
+    /// Records a removal for [`Roster::changes`].
+    fn record_removal(&mut self, id: &str) {
+        self.revision += 1;
+        self.removals.push((self.revision, id.into()));
         if self.removals.len() > MAX_REMOVALS {
             let dropped = self.removals.drain(..MAX_REMOVALS / 2).next_back();
             self.compacted_revision = dropped.map_or(self.compacted_revision, |(at, _)| at);
@@ -315,22 +338,26 @@
             Some(server) if server.record.started_ms > record.started_ms => false,
             Some(server) if server.record.started_ms == record.started_ms => {
                 server.last_seen = now;
-                server.missing_since = None;
+                let was_missing = server.missing_since.take().is_some();
                 let mut record = record;
                 if let Some(engine) = &mut record.engine {
                     engine.fill_last_model(server.record.engine.as_ref());
                 }
                 // The entry may have been written before the report. It counts as newer only if the
                 // report was received before the older of the two newest reads was sent.
-                if server.reported_at.is_some_and(|at| at >= self.read_times.0) {
+                let read_before = self.read_times.map_or(Instant::default(), |(older, _)| older);
+                if server.reported_at.is_some_and(|at| at >= read_before) {
                     record.engine.clone_from(&server.record.engine);
                 }
                 if server.record.engine != record.engine {
                     server.order_count = None;
                 }
-                if server.record != record {
+                let is_changed = server.record != record;
+                if is_changed || was_missing {
                     self.revision += 1;
                     server.changed_revision = self.revision;
+                }
+                if is_changed {
                     server.changed_at = now;
                     server.record = record;
                 }
@@ -431,53 +458,62 @@
         }
     }
 
-    /// Applies the removal of a list entry. Shortly after an outage of the store the server is only
-    /// marked as missing, because the store may have dropped an entry whose heartbeats it did not
-    /// receive.
+    /// Applies the removal of a list entry. During and shortly after an outage of the store the
+    /// server is only marked as missing, because the store may have dropped an entry whose
+    /// heartbeats it did not receive.
     pub fn remove(&mut self, id: &str, now: Instant) {
-        let is_doubtful = self.last_outage.is_some_and(|outage| now.since(outage) < RELIST_TIMEOUT);
-        match self.servers.by_name_mut(id) {
+        let is_doubtful = self.has_recent_outage(now);
+        match self.servers.by_name(id) {
             Some(server) if is_doubtful && server.record.phase == Phase::Ready => {
-                server.missing_since = server.missing_since.or(Some(now));
+                self.mark_missing(id, now);
             }
             Some(_) => self.delete(id),
             None => {}
         }
     }
 
-    /// Applies a read of the whole list: removes the servers that are not in `ids`, which must be
-    /// sorted.
-    pub fn retain(&mut self, ids: &[SmolStr], now: Instant) {
-        let gone: Vec<SmolStr> = self
-            .servers
-            .keys()
+    /// Whether the store may have dropped entries of live servers that are not listed again yet,
+    /// since there has been no contact to it for too long. Failed calls do not show that: the store
+    /// may refuse this entry and serve the servers and the reader that this entry follows.
+    fn has_recent_outage(&self, now: Instant) -> bool {
+        self.read_times.is_some_and(|(_, newest)| now.since(newest) > MAX_CONTACT_GAP)
+            || self.regained_at.is_some_and(|at| now.since(at) < RELIST_TIMEOUT)
+    }
+
+    /// Returns the ids of the listed servers that are not in `ids`, which must be sorted.
+    pub fn unlisted(&self, ids: &[SmolStr]) -> Vec<SmolStr> {
+        self.servers
+            .iter()
+            .filter(|(_, server)| server.missing_since.is_none())
             .map(|(id, _)| id.clone())
             .filter(|id| ids.binary_search(id).is_err())
-            .collect();
-        gone.iter().for_each(|id| self.remove(id, now));
+            .collect()
     }
 
     /// When the newest read of the server list was sent. The roster reflects the list as of this
     /// time.
     pub fn list_read_at(&self) -> Instant {
-        self.read_times.1
+        self.read_times.map_or(Instant::default(), |(_, newest)| newest)
     }
 
-    /// Records that the roster reflects the server list as of `sent`, the time at which a
-    /// successful read was sent.
-    pub fn record_read(&mut self, sent: Instant) {
-        self.read_times = (self.read_times.1, sent);
-    }
-
-    /// Records that the store did not answer at `now`.
-    pub fn record_outage(&mut self, now: Instant) {
-        self.last_outage = Some(now);
+    /// Records at `now` that the roster reflects the server list as of `sent`, the time at which a
+    /// successful read was sent. Ignored if a newer read is known.
+    pub fn record_read(&mut self, sent: Instant, now: Instant) {
+        match self.read_times {
+            None => self.read_times = Some((Instant::default(), sent)),
+            Some((_, newest)) if sent > newest => {
+                if sent.since(newest) > MAX_CONTACT_GAP {
+                    self.regained_at = Some(now);
+                }
+                self.read_times = Some((newest, sent));
+            }
+            Some(_) => {}
+        }
     }
 
     /// Removes servers that were not listed again in time after an outage.
     pub fn tick(&mut self, now: Instant) {
-        let Some(outage) = self.last_outage else { return };
-        if now.since(outage) < RELIST_TIMEOUT {
+        if self.has_recent_outage(now) {
             return;
         }
         let gone: Vec<SmolStr> = self
--- a/crates/mgw-fleet/tests/common/mod.rs
+++ b/crates/mgw-fleet/tests/common/mod.rs
@@ -142,7 +142,7 @@
 
     /// Writes the records of all instances that are neither silent nor refusing.
     pub fn publish_records(&mut self) {
-        self.roster.record_read(self.now);
+        self.roster.record_read(self.now, self.now);
         for (id, record) in self.records.iter() {
             if !self.silent.contains(id) && !self.refusing.contains(id) {
                 self.roster.upsert(id, record.clone(), self.now);
--- a/crates/mgw-fleet/tests/engines/planners.rs
+++ b/crates/mgw-fleet/tests/engines/planners.rs
@@ -60,7 +60,7 @@
         let at = Instant::from_millis(now);
         if now >= self.last_read + READ_INTERVAL_MS {
             self.last_read = now;
-            self.roster.record_read(at);
+            self.roster.record_read(at, at);
             for update in &list[self.next_update.min(list.len())..] {
                 match &update.record {
                     Some(record) => {
--- a/crates/mgw-fleet/tests/roster.rs
+++ b/crates/mgw-fleet/tests/roster.rs
@@ -13,18 +13,65 @@
 #[test]
 fn servers_missing_after_an_outage_get_time_to_be_listed_again() {
     let mut roster = Roster::default();
+    roster.record_read(at(0), at(0));
     roster.upsert("a", record(0), at(0));
     roster.upsert("b", record(0), at(0));
-    roster.record_outage(at(1_000));
-    roster.remove("a", at(1_500));
-    roster.remove("b", at(1_500));
+    roster.remove("b", at(2_100));
+    assert_eq!(roster.len(), 2, "nothing has been read for more than 2 s");
+    roster.record_read(at(3_000), at(3_100));
+    roster.remove("a", at(3_500));
     assert_eq!(roster.len(), 2);
-    roster.upsert("a", record(0), at(2_000));
-    roster.tick(at(3_300));
+    roster.upsert("a", record(0), at(4_000));
+    roster.record_read(at(4_600), at(4_600));
+    roster.tick(at(5_200));
+    assert_eq!(roster.len(), 2, "servers get 2.2 s after the outage");
+    roster.tick(at(5_300));
     assert!(roster.by_id("a").is_some(), "a was listed again");
     assert!(roster.by_id("b").is_none(), "b was not listed again in time");
 }
 
+/// Guards against followers that list a removed server again because their reader, which has had no
+/// contact to the store, cannot tell yet whether it is gone.
+#[test]
+fn missing_servers_are_removed_for_followers() {
+    let mut roster = Roster::default();
+    roster.record_read(at(0), at(0));
+    roster.upsert("a", record(0), at(0));
+    roster.upsert("b", record(0), at(0));
+    let before = roster.changes(0);
+    roster.record_read(at(3_000), at(3_000));
+    roster.remove("a", at(3_000));
+    assert!(roster.by_id("a").is_some_and(|server| server.missing_since.is_some()));
+    let marked = roster.changes(before.revision);
+    assert_eq!((marked.changed.len(), &marked.gone[..]), (0, &["a".into()][..]));
+    assert_eq!(roster.changes(0).changed.len(), 1, "a whole list has only b");
+    roster.upsert("a", record(0), at(3_500));
+    let listed = roster.changes(marked.revision);
+    assert_eq!((listed.changed.len(), listed.gone.len()), (1, 0), "a is listed again");
+}
+
+/// Guards against a removed server that is kept because the store refuses this entry, although the
+/// reader that it follows has contact all the time.
+#[test]
+fn a_removal_is_not_doubted_while_a_reader_has_contact() {
+    let mut roster = Roster::default();
+    roster.upsert("a", record(0), at(0));
+    for ms in (0..8_000).step_by(1_500) {
+        roster.record_read(at(ms), at(ms + 300));
+    }
+    roster.remove("a", at(8_000));
+    assert!(roster.is_empty());
+}
+
+/// Guards against an older time of a reader that replaces the time of this entry's own read.
+#[test]
+fn an_older_read_does_not_replace_a_newer_one() {
+    let mut roster = Roster::default();
+    roster.record_read(at(5_000), at(5_000));
+    roster.record_read(at(1_000), at(5_100));
+    assert_eq!(roster.list_read_at(), at(5_000));
+}
+
 /// Guards against requests to a server whose entry was removed while there was no outage.
 #[test]
 fn a_removed_server_is_dropped_at_once() {
@@ -39,9 +86,10 @@
 fn a_removed_draining_server_is_dropped_at_once() {
     let mut roster = Roster::default();
     let draining = mgw_fleet::roster::Record { phase: Phase::Draining, ..record(0) };
+    roster.record_read(at(0), at(0));
     roster.upsert("a", draining, at(0));
-    roster.record_outage(at(50));
-    roster.remove("a", at(100));
+    roster.record_read(at(3_000), at(3_000));
+    roster.remove("a", at(3_100));
     assert!(roster.is_empty());
 }
 
@@ -84,7 +132,7 @@
 #[test]
 fn an_older_entry_does_not_undo_a_report() {
     let mut roster = Roster::default();
-    roster.record_read(at(0));
+    roster.record_read(at(0), at(0));
     roster.upsert("a", record(0), at(10));
     let reported = mgw_fleet::roster::Engine {
         model: Some("large".into()),
@@ -95,10 +143,10 @@
         let engine = roster.by_id("a").and_then(|server| server.record.engine.clone());
         engine.and_then(|engine| engine.model)
     };
-    roster.record_read(at(400));
+    roster.record_read(at(400), at(400));
     roster.upsert("a", record(0), at(410));
     assert_eq!(model(&roster).as_deref(), Some("large"), "may have been written before 300");
-    roster.record_read(at(800));
+    roster.record_read(at(800), at(800));
     roster.upsert("a", record(0), at(810));
     assert_eq!(model(&roster), None, "written after 400");
 }
@@ -122,7 +170,7 @@
     roster.upsert("a", record_in_group(Stage::Ready), at(0));
     roster.apply_report("a", 1, engine(Stage::Ready), 2, at(0));
     for ms in [1_000, 1_400] {
-        roster.record_read(at(ms));
+        roster.record_read(at(ms), at(ms));
     }
     roster.upsert("a", record_in_group(Stage::Open), at(1_400));
     roster.apply_report("a", 1, engine(Stage::Ready), 2, at(1_500));
--- a/crates/mgw-gateway/src/feed/follower.rs
+++ b/crates/mgw-gateway/src/feed/follower.rs
@@ -250,7 +250,7 @@
 fn apply_ages(state: &mut State, ages: Ages, now: Instant) {
     let (config, servers) = (ages.as_of(ages.config), ages.as_of(ages.servers));
     state.config_proof.renew(config);
-    state.roster.record_read(servers);
+    state.roster.record_read(servers, now);
     state.entries.confirm(ages.as_of(ages.entries));
     if let Some(link) = &mut state.reader_link {
         link.record_response(config.min(servers), now);
--- a/crates/mgw-gateway/src/servers.rs
+++ b/crates/mgw-gateway/src/servers.rs
@@ -81,7 +81,7 @@
         return Err(outdated);
     }
     if let Some(read_at) = read_at {
-        state.roster.record_read(read_at);
+        state.roster.record_read(read_at, now);
     }
     let mut ids: Vec<SmolStr> = Vec::new();
     for (id, change) in changes {
@@ -96,7 +96,9 @@
     }
     if is_whole {
         ids.sort_unstable();
-        state.roster.retain(&ids, now);
+        for id in state.roster.unlisted(&ids) {
+            remove(state, &id, origin, now);
+        }
     }
     state.has_server_list = true;
     Ok(())
@@ -132,7 +134,7 @@
 
 /// Applies the removal of a server's record. The roster may keep the server for a while.
 fn remove(state: &mut State, id: &SmolStr, origin: Origin<'_>, now: Instant) {
-    if state.roster.find(id).is_some() {
+    if state.roster.by_id(id).is_some_and(|server| server.missing_since.is_none()) {
         log(state, Body::new(Kind::ServerUnlisted).text(origin.description()), id, origin);
     }
     state.roster.remove(id, now);
--- a/crates/mgw-gateway/src/topics.rs
+++ b/crates/mgw-gateway/src/topics.rs
@@ -143,7 +143,6 @@
                     let text = format!("read topic {}: {error}", topic.name());
                     gateway.record(Body::new(Kind::StoreLost).text(text));
                 }
-                gateway.with(|state| state.roster.record_outage(clock::now()));
                 let pause = match gateway.with(|state| state.has_live_reader(clock::now())) {
                     true => FOLLOWER_RETRY_DELAY,
                     false => (MIN_RETRY_DELAY * 2_u32.pow(failures)).min(MAX_RETRY_DELAY),
