Give up responses that never end

What callers saw: a request to a server that sends without end waited until its deadline (504 after 2.5 s), and a stream or the skipped response to another request was read without bound (100 MB taken of one response in a test).

Cause: interim responses, the body of a response to another request, and an event of a stream had no limit; reports of instances neither. While a server sends without a pause, a request noticed neither its deadline nor that its caller had left, because the read from the server always came first.

Fix: each part has a limit (8 interim responses, 64 KiB of a foreign body, 256 KiB an event, 256 KiB a report), beyond which the response is malformed: the connection is closed at once, and the request goes on at another server or fails. Events that are complete before the oversized one are passed on, so that a resumed stream misses none. The caller's end of the connection is polled first, and the deadline is checked before each read. The client of the store and the one for instances share the reading of whole responses now, which stood twice.

--- a/crates/mgw-gateway/src/connection.rs
+++ b/crates/mgw-gateway/src/connection.rs
@@ -5,6 +5,9 @@
 use std::time::Duration;
 
 use bytes::BytesMut;
+use mgw_http::body::Decoder;
+use mgw_http::error::Error;
+use mgw_http::head::{self, Response};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
@@ -84,6 +87,43 @@
             && matches!(read, Err(error) if error.kind() == io::ErrorKind::WouldBlock)
     }
 
+    /// Reads a whole response with a head of at most `max_head` bytes and a body of at most
+    /// `max_body` bytes.
+    ///
+    /// # Errors
+    ///
+    /// The connection failed or ended early, or [`io::ErrorKind::InvalidData`] if the response is
+    /// malformed or too large.
+    pub async fn read_response(
+        &mut self,
+        max_head: usize,
+        max_body: usize,
+    ) -> io::Result<(Response, BytesMut)> {
+        let invalid = |error: Error| io::Error::new(io::ErrorKind::InvalidData, error);
+        let head = loop {
+            match head::parse_response(&mut self.input, max_head).map_err(invalid)? {
+                Some(head) => break head,
+                None if self.read().await? == 0 => {
+                    return Err(io::ErrorKind::UnexpectedEof.into());
+                }
+                None => {}
+            }
+        };
+        let (mut decoder, mut body) = (Decoder::new(head.framing), BytesMut::new());
+        loop {
+            decoder.decode(&mut self.input, &mut body).map_err(invalid)?;
+            if body.len() > max_body {
+                return Err(invalid(Error::BodySize));
+            }
+            if decoder.is_done() {
+                return Ok((head, body));
+            }
+            if self.read().await? == 0 {
+                decoder.finish().map_err(invalid)?;
+            }
+        }
+    }
+
     /// Waits until the peer has closed the connection. Bytes that arrive meanwhile are kept in
     /// `input`; once it is full, this waits without end.
     ///
--- a/crates/mgw-gateway/src/control.rs
+++ b/crates/mgw-gateway/src/control.rs
@@ -9,8 +9,6 @@
 use mgw_event::event::Body;
 use mgw_fleet::entry::{self, Phase, Role};
 use mgw_fleet::plan::{self, Action, Command, Note, Planner, ProbeResult, Reply, View};
-use mgw_http::body::Decoder;
-use mgw_http::head;
 use platform::order;
 use platform::store;
 use smol_str::SmolStr;
@@ -38,6 +36,9 @@
 /// Maximum size of a response head in bytes.
 const MAX_HEAD_BYTES: usize = 16 << 10;
 
+/// Maximum size of an instance's response body in bytes.
+const MAX_BODY_BYTES: usize = 256 << 10;
+
 /// Interval of the check whether a reader still writes this entry's heartbeats.
 const HEARTBEAT_CHECK_INTERVAL: Duration = Duration::from_millis(300);
 
@@ -323,7 +324,8 @@
         order::write_head(&mut output, path, instance, body.len());
         output.extend_from_slice(body);
         connection.write(&output).await?;
-        let (head, response_body) = read_response(&mut connection).await?;
+        let (head, response_body) =
+            connection.read_response(MAX_HEAD_BYTES, MAX_BODY_BYTES).await?;
         let is_reusable = head.keeps_alive() && connection.input.is_empty();
         Ok::<_, io::Error>((head, response_body, is_reusable.then_some(connection)))
     };
@@ -336,27 +338,3 @@
     }
     Ok((head.status, response_body))
 }
-
-/// Reads a whole response from a connection.
-async fn read_response(connection: &mut Connection) -> io::Result<(head::Response, BytesMut)> {
-    let invalid = |error| io::Error::new(io::ErrorKind::InvalidData, error);
-    let head = loop {
-        match head::parse_response(&mut connection.input, MAX_HEAD_BYTES).map_err(invalid)? {
-            Some(head) => break head,
-            None if connection.read().await? == 0 => {
-                return Err(io::ErrorKind::UnexpectedEof.into());
-            }
-            None => {}
-        }
-    };
-    let (mut decoder, mut body) = (Decoder::new(head.framing), BytesMut::new());
-    loop {
-        decoder.decode(&mut connection.input, &mut body).map_err(invalid)?;
-        if decoder.is_done() {
-            return Ok((head, body));
-        }
-        if connection.read().await? == 0 {
-            decoder.finish().map_err(invalid)?;
-        }
-    }
-}
--- a/crates/mgw-gateway/src/forward.rs
+++ b/crates/mgw-gateway/src/forward.rs
@@ -394,8 +394,9 @@
         loop {
             tokio::select! {
                 biased;
-                result = &mut work => return Ok(result),
+                // Comes first, as a server that sends without a pause always has a result.
                 () = caller.closed() => return Err(Failure::CallerGone),
+                result = &mut work => return Ok(result),
                 () = wake.notified() => {
                     if let Some(failure) = self.take_failure() {
                         return Err(failure);
--- a/crates/mgw-gateway/src/forward/attempt.rs
+++ b/crates/mgw-gateway/src/forward/attempt.rs
@@ -1,5 +1,6 @@
 //! One attempt: sends the request to one server and reads its response.
 
+use std::io;
 use std::time::Duration;
 
 use bytes::BytesMut;
@@ -29,6 +30,12 @@
 /// Maximum responses to other requests that are skipped on one connection.
 const MAX_FOREIGN_RESPONSES: usize = 2;
 
+/// Maximum size in bytes of the body of a response to another request that is skipped.
+const MAX_FOREIGN_BODY_BYTES: usize = 64 << 10;
+
+/// Maximum interim (1xx) responses that are skipped before a response.
+const MAX_INTERIM_RESPONSES: usize = 8;
+
 /// Stall timeout of an idempotent request, as a multiple of its route's latency target.
 const LATENCY_TARGETS_PER_ATTEMPT: u32 = 2;
 
@@ -154,21 +161,14 @@
     }
 
     /// Reads the head of the response to this request. Responses that name another attempt are
-    /// skipped, as are interim (1xx) ones.
+    /// skipped, as are interim (1xx) ones, up to a limit of each.
     pub(super) async fn read_head(
         &mut self,
         caller: &mut Connection,
         connection: &mut Connection,
     ) -> Result<(Response, header::ResponseMetadata), Failure> {
         for _ in 0..=MAX_FOREIGN_RESPONSES {
-            let response = loop {
-                match head::parse_response(&mut connection.input, MAX_HEAD_BYTES) {
-                    Ok(Some(response)) if response.status >= 200 => break response,
-                    Ok(Some(_)) => {}
-                    Ok(None) => self.read_more(caller, connection).await?,
-                    Err(_) => return Err(Failure::Malformed),
-                }
-            };
+            let response = self.read_next_head(caller, connection).await?;
             let response_metadata = header::parse_response_metadata(&response);
             match &response_metadata.attempt_id {
                 Some(attempt) if *attempt != self.metadata.attempt_id => {
@@ -176,20 +176,7 @@
                         EventKind::AnswerDiscarded,
                         &format!("response to attempt {attempt}"),
                     );
-                    let mut decoder = Decoder::new(response.framing);
-                    if response.framing == Framing::Close {
-                        return Err(Failure::Malformed);
-                    }
-                    let mut dropped = BytesMut::new();
-                    while !decoder.is_done() {
-                        decoder
-                            .decode(&mut connection.input, &mut dropped)
-                            .map_err(|_| Failure::Malformed)?;
-                        dropped.clear();
-                        if !decoder.is_done() {
-                            self.read_more(caller, connection).await?;
-                        }
-                    }
+                    self.skip_body(caller, connection, response.framing).await?;
                 }
                 _ => return Ok((response, response_metadata)),
             }
@@ -197,18 +184,72 @@
         Err(Failure::Malformed)
     }
 
+    /// Reads the head of the next response that is not an interim one.
+    async fn read_next_head(
+        &mut self,
+        caller: &mut Connection,
+        connection: &mut Connection,
+    ) -> Result<Response, Failure> {
+        let mut interim_count = 0;
+        loop {
+            match head::parse_response(&mut connection.input, MAX_HEAD_BYTES) {
+                Ok(Some(response)) if response.status >= 200 => return Ok(response),
+                Ok(Some(_)) if interim_count < MAX_INTERIM_RESPONSES => interim_count += 1,
+                Ok(None) => self.read_more(caller, connection).await?,
+                Ok(Some(_)) | Err(_) => return Err(Failure::Malformed),
+            }
+        }
+    }
+
+    /// Skips the body of a response to another request.
+    async fn skip_body(
+        &mut self,
+        caller: &mut Connection,
+        connection: &mut Connection,
+        framing: Framing,
+    ) -> Result<(), Failure> {
+        // Nothing can follow a body that ends with the connection.
+        if framing == Framing::Close {
+            return Err(Failure::Malformed);
+        }
+        let (mut decoder, mut skipped) = (Decoder::new(framing), BytesMut::new());
+        loop {
+            decoder.decode(&mut connection.input, &mut skipped).map_err(|_| Failure::Malformed)?;
+            if decoder.is_done() {
+                return Ok(());
+            }
+            if skipped.len() > MAX_FOREIGN_BODY_BYTES {
+                return Err(Failure::Malformed);
+            }
+            self.read_more(caller, connection).await?;
+        }
+    }
+
     /// Reads more of a response; the end of the stream is a failure.
     pub(super) async fn read_more(
         &mut self,
         caller: &mut Connection,
         connection: &mut Connection,
     ) -> Result<(), Failure> {
-        match self.wait(caller, connection.read()).await? {
+        match self.read_from(caller, connection).await? {
             Ok(0) | Err(_) => Err(Failure::ConnectionLost),
             Ok(_) => Ok(()),
         }
     }
 
+    /// Reads what the server sends next; see [`Connection::read`]. Fails after the deadline even if
+    /// the server sends without a pause.
+    pub(super) async fn read_from(
+        &mut self,
+        caller: &mut Connection,
+        connection: &mut Connection,
+    ) -> Result<io::Result<usize>, Failure> {
+        if clock::now() >= self.deadline {
+            return Err(Failure::Deadline);
+        }
+        self.wait(caller, connection.read()).await
+    }
+
     /// Reads the whole body of a response that is not a stream.
     pub(super) async fn read_body(
         &mut self,
@@ -232,7 +273,7 @@
             if body.len() > MAX_BODY_BYTES {
                 return Err(Failure::Malformed);
             }
-            match self.wait(caller, connection.read()).await? {
+            match self.read_from(caller, &mut connection).await? {
                 Ok(0) => decoder.finish().map_err(|_| Failure::ConnectionLost)?,
                 Ok(_) => {}
                 Err(_) => return Err(Failure::ConnectionLost),
--- a/crates/mgw-gateway/src/forward/response.rs
+++ b/crates/mgw-gateway/src/forward/response.rs
@@ -52,7 +52,10 @@
                 self.pool_connection(connection, target, &response, is_fully_sent);
                 return Ok(Outcome::Streamed);
             }
-            match self.wait(caller, connection.read()).await? {
+            if self.splitter.is_oversized() {
+                return Err(Failure::Malformed);
+            }
+            match self.read_from(caller, &mut connection).await? {
                 Ok(0) => decoder.finish().map_err(|_| Failure::ConnectionLost)?,
                 Ok(_) => {}
                 Err(_) => return Err(Failure::ConnectionLost),
--- a/crates/mgw-gateway/src/store.rs
+++ b/crates/mgw-gateway/src/store.rs
@@ -5,8 +5,7 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use mgw_http::body::Decoder;
-use mgw_http::{head, write};
+use mgw_http::write;
 use platform::store::Call;
 use smol_str::{SmolStr, format_smolstr};
 
@@ -22,6 +21,9 @@
 /// Maximum size of a response head in bytes.
 const MAX_HEAD_BYTES: usize = 16 << 10;
 
+/// Maximum size of a response body in bytes; larger than a page of records.
+const MAX_BODY_BYTES: usize = 16 << 20;
+
 /// Why a call failed.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Error {
@@ -115,32 +117,9 @@
     output.extend_from_slice(b"\r\n");
     output.extend_from_slice(&call.body);
     connection.write(&output).await.map_err(|cause| Error::failed("send to the store", cause))?;
-    let head = loop {
-        let parsed = head::parse_response(&mut connection.input, MAX_HEAD_BYTES);
-        match parsed.map_err(|cause| Error::failed("read the store's response", cause))? {
-            Some(head) => break head,
-            None => read_more(connection).await?,
-        }
-    };
-    let mut decoder = Decoder::new(head.framing);
-    let mut body = BytesMut::new();
-    loop {
-        decoder
-            .decode(&mut connection.input, &mut body)
-            .map_err(|cause| Error::failed("read the store's response", cause))?;
-        if decoder.is_done() {
-            break;
-        }
-        read_more(connection).await?;
-    }
+    let (head, body) = connection
+        .read_response(MAX_HEAD_BYTES, MAX_BODY_BYTES)
+        .await
+        .map_err(|cause| Error::failed("read the store's response", cause))?;
     Ok((head.status, body.freeze(), head.keeps_alive() && connection.input.is_empty()))
 }
-
-/// Reads more of a response; the end of the stream is an error.
-async fn read_more(connection: &mut Connection) -> Result<(), Error> {
-    match connection.read().await {
-        Ok(0) => Err(Error::failed("read the store's response", "connection closed")),
-        Ok(_) => Ok(()),
-        Err(cause) => Err(Error::failed("read the store's response", cause)),
-    }
-}
--- a/crates/mgw-http/src/sse.rs
+++ b/crates/mgw-http/src/sse.rs
@@ -2,6 +2,9 @@
 
 use bytes::BytesMut;
 
+/// Maximum size of an event in bytes.
+const MAX_EVENT_BYTES: usize = 256 << 10;
+
 /// Splits a body into complete events.
 ///
 /// Only complete events are passed on, so a stream whose connection breaks inside an event can be
@@ -30,6 +33,11 @@
         }
     }
 
+    /// Returns true if the incomplete event exceeds 256 KiB, the maximum size of an event.
+    pub fn is_oversized(&self) -> bool {
+        self.partial.len() > MAX_EVENT_BYTES
+    }
+
     /// Returns the `id` of the last complete event that has a numeric one, to resume the stream
     /// after it.
     pub fn last_id(&self) -> Option<u64> {
--- a/crates/mgw-http/tests/sse.rs
+++ b/crates/mgw-http/tests/sse.rs
@@ -44,3 +44,16 @@
     push(&mut splitter, "id: 3\ndata: a\n\nid: 4\ndata: b\n");
     assert_eq!(splitter.last_id(), Some(3));
 }
+
+/// Guards against an event without end that fills the memory. Events that were complete before it
+/// are passed on.
+#[test]
+fn an_event_without_end_is_oversized() {
+    let (mut splitter, mut output) = (Splitter::default(), BytesMut::new());
+    splitter.push(&mut BytesMut::from(&b"id: 1\n\ndata: "[..]), &mut output);
+    splitter.push(&mut BytesMut::from(&vec![b'x'; 256 << 10][..]), &mut output);
+    assert!(splitter.is_oversized());
+    assert_eq!((&output[..], splitter.last_id()), (&b"id: 1\n\n"[..], Some(1)));
+    splitter.drop_partial();
+    assert!(!splitter.is_oversized());
+}
