Keep to a reader while the store refuses this entry

What callers saw: little by itself, but an entry that reads the store for others and is refused by it left its substitute source at the first poll, since it should read the store, until its knowledge was 1.25 s old again. Each round sent all records again, and its followers timed out in turn.

Fix: an entry whose own knowledge was too old when it began to follow stays for 5 s, as for any other change of the source, before it tries the store.

readers_without_store_access_keep_following failed before after 130 ms and 282 ms, and passes.

--- a/crates/mgw-gateway/src/feed/follower.rs
+++ b/crates/mgw-gateway/src/feed/follower.rs
@@ -57,13 +57,18 @@
     }
 }
 
+/// Whether this entry's knowledge of the configuration is too old.
+fn has_stale_config(state: &State, now: Instant) -> bool {
+    state.config_proof.age(now).is_none_or(|age| age > MAX_FEED_AGE)
+}
+
 /// The preferred source. The planner reads the store itself if it can. So does a serving entry with
 /// followers while its configuration is current, an entry without a list of servers at its start,
 /// and a draining entry that follows no reader.
 fn choose_source(gateway: &Gateway, selector: &mut Selector) -> Source {
     let (now, settings) = (clock::now(), &gateway.settings);
     gateway.with(|state| {
-        let has_stale_config = state.config_proof.age(now).is_none_or(|age| age > MAX_FEED_AGE);
+        let has_stale_config = has_stale_config(state, now);
         let may_follow = match state.phase {
             Phase::Serving if state.is_planner => state.has_stale_view,
             Phase::Serving => has_stale_config || state.followers.is_empty(),
@@ -128,6 +133,8 @@
     mut updates: RecvStream,
 ) -> Result<Infallible, Error> {
     let followed_since = clock::now();
+    // The store does not respond to this entry, so it is tried again only after a while.
+    let is_substitute = gateway.with(|state| has_stale_config(state, followed_since));
     let mut input = BytesMut::new();
     let mut sent_heartbeat: Option<Heartbeat> = None;
     let mut held_members = None;
@@ -166,12 +173,11 @@
         if gateway.with(|state| state.reader_link.is_some_and(|link| link.should_switch(now))) {
             return Err(Error::Stale);
         }
+        let may_leave = now.since(followed_since) > MIN_FOLLOW_TIME;
         let should_leave = match choose_source(gateway, selector) {
             // This entry may be one of the readers now, which other entries follow.
-            Source::Store => true,
-            Source::Reader(preferred) => {
-                preferred != *reader && now.since(followed_since) > MIN_FOLLOW_TIME
-            }
+            Source::Store => may_leave || !is_substitute,
+            Source::Reader(preferred) => may_leave && preferred != *reader,
         };
         if should_leave {
             return Err(Error::ReaderChanged);
