Follow any entry if all readers and the own store contact have failed

Cause: an entry looked for a source among the readers only. If the store refuses just these, the others begin to read it themselves after 1.25 s, but nobody asked them until the refused readers' heartbeats had timed out.

Fix: if no reader is usable and the entry's own view is stale, it follows any other serving entry, in the same order and with the same pause after a failure.

other_entries_replace_failed_readers_if_the_own_view_is_stale failed before.

--- a/crates/mgw-fleet/src/source.rs
+++ b/crates/mgw-fleet/src/source.rs
@@ -108,7 +108,9 @@
     ///
     /// That is the store if the entry is a reader and its own view is current. Otherwise it is a
     /// reader, one of the same zone if there is any. Rendezvous hashing spreads the followers over
-    /// the readers. Without a usable reader, it is the store.
+    /// the readers. If no reader is usable and the entry's own view is stale, it is any other
+    /// entry: the store may refuse just the readers and this entry, and the others read it
+    /// themselves then. Else it is the store.
     pub fn select(
         &mut self,
         table: &Table,
@@ -117,20 +119,24 @@
         now: Instant,
     ) -> Source {
         self.failed_until.retain(|_, until| now < *until);
-        let mut readers = table.readers();
+        let readers = table.readers();
         let is_reader = readers.iter().any(|reader| *reader == name);
         if is_reader && !has_stale_view {
             return Source::Store;
         }
-        readers.retain(|reader| *reader != name);
         let is_same_zone =
-            |reader: &SmolStr| table.get(reader).is_some_and(|entry| entry.heartbeat.zone == zone);
-        let best = readers
-            .into_iter()
-            .filter(|reader| self.failed_until.get(reader).is_none())
-            .min_by_key(|reader| {
-                (!is_same_zone(reader), hash::parts(&[name.as_bytes(), reader.as_bytes()]))
-            });
-        best.map_or(Source::Store, |reader| Source::Reader(reader.clone()))
+            |entry: &SmolStr| table.get(entry).is_some_and(|it| it.heartbeat.zone == zone);
+        let is_usable =
+            |entry: &&SmolStr| entry.as_str() != name && self.failed_until.get(*entry).is_none();
+        let rank = |entry: &&SmolStr| {
+            (!is_same_zone(entry), hash::parts(&[name.as_bytes(), entry.as_bytes()]))
+        };
+        let reader = readers.into_iter().filter(is_usable).min_by_key(rank);
+        let any_entry = || table.serving().map(|(entry, _)| entry).filter(is_usable);
+        let best = match reader {
+            None if has_stale_view => any_entry().min_by_key(rank),
+            reader => reader,
+        };
+        best.map_or(Source::Store, |entry| Source::Reader(entry.clone()))
     }
 }
--- a/crates/mgw-fleet/tests/feed.rs
+++ b/crates/mgw-fleet/tests/feed.rs
@@ -206,6 +206,25 @@
     );
 }
 
+/// Guards against an entry that refuses requests because the store refuses it and all readers,
+/// although other entries have begun to read the store.
+#[test]
+fn other_entries_replace_failed_readers_if_the_own_view_is_stale() {
+    let table = table(&[("a", 3), ("b", 3), ("c", 3)]);
+    let readers: Vec<_> = table.readers().into_iter().cloned().collect();
+    let own = readers[0].as_str();
+    let zone = &own[..1];
+    let mut selector = Selector::default();
+    readers.iter().for_each(|reader| selector.mark_failed(reader, at(1_000)));
+    for _ in readers.len()..9 {
+        let source = selector.select(&table, (own, zone), true, at(1_000));
+        let Source::Reader(other) = source else { panic!("{source:?}") };
+        assert!(!readers.contains(&other), "{other} is a failed reader");
+        selector.mark_failed(&other, at(1_000));
+    }
+    assert_eq!(selector.select(&table, (own, zone), true, at(1_000)), Source::Store);
+}
+
 /// Guards against an entry that relies on a reader which is silent, or which cannot read the store.
 #[test]
 fn a_link_is_fresh_only_with_recent_answers_of_recent_knowledge() {
