Do not send a second response head into a stream that has begun

Cause: a stream was cut by its server and resumed at another one. If that one responded with an error, the response was handled as a whole one, and its head and body were written into the chunked body of the first.

Fix: an error response to a request whose caller already has a head is a failure of that server; the stream is resumed at another one within the limits, or the caller's connection is closed without the end of the stream.

--- a/crates/mgw-gateway/src/exchange.rs
+++ b/crates/mgw-gateway/src/exchange.rs
@@ -21,6 +21,12 @@
     ConnectionLost,
     /// The bytes received are not a valid response to this request.
     Malformed,
+    /// The server that was to resume a stream responded with an error. The caller already has the
+    /// head of another response.
+    NotResumed {
+        /// Status code of its response.
+        status: u16,
+    },
     /// The target makes no progress, and the request may be sent to another one.
     Stalled,
     /// The deadline of the request passed.
@@ -48,6 +54,7 @@
             Failure::NotRun { status } => write!(formatter, "not executed, status {status}"),
             Failure::ConnectionLost => formatter.write_str("connection lost"),
             Failure::Malformed => formatter.write_str("malformed response"),
+            Failure::NotResumed { status } => write!(formatter, "not resumed, status {status}"),
             Failure::Stalled => formatter.write_str("target stalled"),
             Failure::Deadline => formatter.write_str("deadline exceeded"),
             Failure::CallerGone => formatter.write_str("caller disconnected"),
--- a/crates/mgw-gateway/src/forward/attempt.rs
+++ b/crates/mgw-gateway/src/forward/attempt.rs
@@ -112,9 +112,9 @@
             self.drain_refusal(connection, target, &response, is_fully_sent).await;
             return Err(Failure::NotRun { status });
         }
-        let is_stream = response.is_success() && self.route().kind.is_stream();
-        match is_stream {
+        match response.is_success() && self.route().kind.is_stream() {
             true => self.relay_stream(caller, connection, target, response, is_fully_sent).await,
+            false if self.is_started => Err(Failure::NotResumed { status: response.status }),
             false => self.read_body(caller, connection, target, response, is_fully_sent).await,
         }
     }
