--- a/crates/mgw-gateway/src/servers.rs
+++ b/crates/mgw-gateway/src/servers.rs
@@ -117,7 +117,7 @@
             record.address,
             origin.description()
         );
-        log(state, Body::new(Kind::ServerListed).text(text), id, origin);
+        record_event(state, Body::new(Kind::ServerListed).text(text), id, origin);
     }
     let key = state.roster.find(id);
     let is_restarted = state.roster.upsert(id, record, now);
@@ -135,13 +135,13 @@
 /// Applies the removal of a server's record. The roster may keep the server for a while.
 fn remove(state: &mut State, id: &SmolStr, origin: Origin<'_>, now: Instant) {
     if state.roster.by_id(id).is_some_and(|server| server.missing_since.is_none()) {
-        log(state, Body::new(Kind::ServerUnlisted).text(origin.description()), id, origin);
+        record_event(state, Body::new(Kind::ServerUnlisted).text(origin.description()), id, origin);
     }
     state.roster.remove(id, now);
 }
 
 /// Records `event` about the server `id` with the source and the end of the list.
-fn log(state: &mut State, event: Body, id: &SmolStr, origin: Origin<'_>) {
+fn record_event(state: &mut State, event: Body, id: &SmolStr, origin: Origin<'_>) {
     let end_offset = state.roster.end_offset();
     state.journal.record(event.instance(id).entry(origin.reader()).offset(end_offset));
 }
