Log the progress and the shared prompt parts of requests lost in a crash

Now there is a line for each lost request, with its id, how long its server had been answering it, and the parts of its prompt that other requests may share. The logic is unchanged.

--- a/crates/mgw-event/src/kind.rs
+++ b/crates/mgw-event/src/kind.rs
@@ -188,7 +188,7 @@
     BookingConflict = 607 "booking_conflict" Warn [Request Team] "An idempotency key was used again with a different request.";
     BookingClaimed = 608 "booking_claimed" Debug [Request Entry Offset] "The claim of an opaque key took effect; the entry is its sole executor.";
 
-    CrashBlamed = 701 "crash_blamed" Warn [Request Group Instance Team Offset Text] "A server crashed with the request in flight; the text gives fingerprint and count.";
+    CrashBlamed = 701 "crash_blamed" Warn [Request Group Instance Team Offset Text] "A server crashed with the request in flight; the text gives its progress, and what it has in common with other requests.";
     RequestQuarantined = 702 "request_quarantined" Warn [Request Team Text] "All entries refuse requests with a fingerprint for 10 min.";
     TargetEjected = 703 "target_ejected" Warn [Group Instance Text] "A group or server is excluded from routing because it is much slower than comparable ones.";
     TargetReadmitted = 704 "target_readmitted" Info [Group Instance] "A probe of an ejected group or server succeeded.";
--- a/crates/mgw-gateway/src/crash.rs
+++ b/crates/mgw-gateway/src/crash.rs
@@ -9,11 +9,11 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use mgw_base::time::Instant;
 use mgw_event::Kind;
 use mgw_event::event::Body;
 use mgw_fleet::roster::ServerKey;
 use mgw_route::quarantine::InFlight;
+use smol_str::SmolStr;
 
 use crate::clock;
 use crate::connection::Connection;
@@ -27,28 +27,39 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// A request that lost its connection to a server before the response was complete.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct Disconnect {
     /// The server it was sent to.
     pub server: ServerKey,
     /// Its fingerprint, and whether it was already a suspect.
     pub request: InFlight,
-    /// When the connection was lost.
-    pub at: Instant,
+    /// Id of the caller's attempt.
+    pub attempt_id: SmolStr,
+    /// Ids of the parts of its prompt that other requests may share.
+    pub shared_parts: Vec<SmolStr>,
+    /// Time since the server sent the first event; `None` if it had sent none.
+    pub writing_for: Option<Duration>,
 }
 
-/// Records that a request lost its connection to `server`, and starts a check of the server unless
-/// one is under way.
-pub fn record_disconnect(
-    gateway: &Rc<Gateway>,
-    server: ServerKey,
-    address: SocketAddr,
-    request: InFlight,
-) {
-    let now = clock::now();
+impl Disconnect {
+    /// Describes the request for the event log.
+    fn describe(&self) -> String {
+        let progress = match self.writing_for {
+            Some(time) => format!("first event {} ms before", time.as_millis()),
+            None => "no event yet".into(),
+        };
+        let parts = self.shared_parts.join(" ");
+        format!("{progress}, suspect: {}, shared parts: {parts}", self.request.suspect)
+    }
+}
+
+/// Records that a request lost its connection to the server at `address`, and starts a check of the
+/// server unless one is under way.
+pub fn record_disconnect(gateway: &Rc<Gateway>, address: SocketAddr, disconnect: Disconnect) {
+    let server = disconnect.server;
     let is_first = gateway.with(|state| {
         let is_first = !state.disconnects.iter().any(|it| it.server == server);
-        state.disconnects.push(Disconnect { server, request, at: now });
+        state.disconnects.push(disconnect);
         is_first
     });
     if is_first {
@@ -75,8 +86,13 @@
         let requests: Vec<InFlight> = here.iter().map(|it| it.request).collect();
         let blames = state.quarantine.observe_crash(&requests, now);
         let name = state.roster.get(server).map(|it| it.id.clone()).unwrap_or_default();
-        let text = format!("{} of {} lost requests blamed", blames.len(), requests.len());
-        state.journal.record(Body::new(Kind::CrashBlamed).instance(&name).text(text));
+        for lost in &here {
+            let event = Body::new(Kind::CrashBlamed)
+                .request(&lost.attempt_id)
+                .instance(&name)
+                .text(lost.describe());
+            state.journal.record(event);
+        }
         state.publish_blames(blames);
         true
     });
--- a/crates/mgw-gateway/src/forward.rs
+++ b/crates/mgw-gateway/src/forward.rs
@@ -27,7 +27,7 @@
 
 use crate::clock;
 use crate::connection::Connection;
-use crate::crash;
+use crate::crash::{self, Disconnect};
 use crate::exchange::{Answer, Failure, Outcome};
 use crate::gateway::Gateway;
 use crate::in_flight::{Alarm, RequestKey, Wait};
@@ -121,6 +121,8 @@
     is_last: bool,
     /// When the first event or the whole response was passed on.
     first_event: Option<Instant>,
+    /// When the server of the present attempt sent its first event; `None` before.
+    writing_since: Option<Instant>,
     /// When events were last passed on, and the longest time between two such times.
     event_gap: (Option<Instant>, Duration),
     /// Fingerprint by which crashes are blamed on it.
@@ -326,8 +328,14 @@
         let now = clock::now();
         self.splitter.drop_partial();
         if failure == Failure::ConnectionLost && self.has_begun_sending {
-            let request = InFlight { fingerprint: self.fingerprint, suspect: self.suspect };
-            crash::record_disconnect(self.gateway, target.id, target.address, request);
+            let disconnect = Disconnect {
+                server: target.id,
+                request: InFlight { fingerprint: self.fingerprint, suspect: self.suspect },
+                attempt_id: self.metadata.attempt_id.clone(),
+                shared_parts: self.metadata.shared_parts.clone(),
+                writing_for: self.writing_since.map(|since| now.since(since)),
+            };
+            crash::record_disconnect(self.gateway, target.address, disconnect);
         }
         self.gateway.with(|state| {
             if matches!(failure, Failure::Connect | Failure::ConnectionLost) {
--- a/crates/mgw-gateway/src/forward/admit.rs
+++ b/crates/mgw-gateway/src/forward/admit.rs
@@ -114,6 +114,7 @@
         is_started: false,
         is_last,
         first_event: None,
+        writing_since: None,
         event_gap: (None, Duration::ZERO),
         fingerprint,
         suspect,
--- a/crates/mgw-gateway/src/forward/attempt.rs
+++ b/crates/mgw-gateway/src/forward/attempt.rs
@@ -60,6 +60,7 @@
         });
         self.tried.push(target.id);
         self.has_begun_sending = false;
+        self.writing_since = None;
         let result = self.exchange(caller, target).await;
         self.set_wait(None, Wait::Nothing, NO_TIMEOUT);
         self.gateway.with(|state| {
