--- a/crates/mgw-event/src/kind.rs
+++ b/crates/mgw-event/src/kind.rs
@@ -226,6 +226,7 @@
     OrderAnswered = 944 "order_answered" Info [Instance Text] "An instance answered an order or a probe, or failed to; the text gives the outcome.";
     GroupsCounted = 945 "groups_counted" Info [Text] "Number of groups and instances as counted by the planner, once per second.";
     TargetStalled = 951 "target_stalled" Warn [Instance Text] "No stream of a server makes progress; new requests are routed to others.";
+    ServerLimited = 952 "server_limited" Info [Instance Text] "A server limits the rate of its requests; the text gives the rate over all entries, or that the limit has ended.";
 }
 
 impl Kind {
--- a/crates/mgw-fleet/src/balance.rs
+++ b/crates/mgw-fleet/src/balance.rs
@@ -46,6 +46,8 @@
     /// Failure rate as of `last_result`, 0 to 1.
     failure_rate: f64,
     last_result: Instant,
+    /// Requests per second that the target takes from all entries, as its last response stated.
+    pub request_limit: Option<f64>,
     /// Until when new requests avoid the target, because it stalled or refused a connection.
     avoided_until: Option<Instant>,
 }
--- a/crates/mgw-gateway/src/admin.rs
+++ b/crates/mgw-gateway/src/admin.rs
@@ -6,6 +6,7 @@
 use bytes::BytesMut;
 use mgw_fleet::entry::Phase;
 use mgw_fleet::plan::Planner;
+use mgw_fleet::roster::Server;
 use mgw_http::{head, write};
 use platform::directory;
 use tokio::net::TcpListener;
@@ -147,6 +148,8 @@
         let now = clock::now();
         let groups = state.groups();
         let servable = groups.iter().filter(|group| group.is_servable).count() as u64;
+        let limited = |(_, server): &(_, &Server)| server.load.request_limit.is_some();
+        let limited = state.roster.iter().filter(limited).count() as u64;
         let totals = state.planner.as_ref().map(Planner::totals).unwrap_or_default();
         let proof = state.config_proof.age(now).map_or(u64::MAX, |age| age.as_millis() as u64);
         state.metrics.text(&[
@@ -155,6 +158,7 @@
             ("response_bytes_held", response_bytes),
             ("requests_in_flight", state.requests.len() as u64),
             ("servers_listed", state.roster.len() as u64),
+            ("servers_limited", limited),
             ("groups_known", groups.len() as u64),
             ("groups_servable", servable),
             ("parts_quarantined", state.poison.quarantined_count() as u64),
--- a/crates/mgw-gateway/src/forward/attempt.rs
+++ b/crates/mgw-gateway/src/forward/attempt.rs
@@ -16,6 +16,7 @@
 use crate::exchange::{Answer, Failure, Outcome};
 use crate::forward::{ActiveRequest, MIN_ATTEMPT_TIME, NO_TIMEOUT, Target};
 use crate::in_flight::Wait;
+use crate::limit;
 use crate::pool;
 
 /// Timeout of a connection to a server.
@@ -101,6 +102,7 @@
         let (response, response_metadata) = self.read_head(caller, &mut connection).await?;
         self.gateway.with(|state| {
             let now = clock::now();
+            limit::record(state, target.id, &response, &response_metadata);
             let Some(load) = state.roster.load_mut(target.id) else { return };
             load.clear_avoidance();
             if let Some(requests) = response_metadata.outstanding_requests {
--- a/crates/mgw-gateway/src/lib.rs
+++ b/crates/mgw-gateway/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod gossip;
 pub mod in_flight;
 pub mod journal;
+pub mod limit;
 pub mod memory;
 pub mod metrics;
 pub mod pool;
