Keep to the request limits that servers name, over all entries

Cause: the field was not read, and no entry knew what the others send, so a limit at each entry would not have been enough. server_limited shows that all nine entries know a limit within a second: knowledge was not missing.

Now each entry has a token bucket for each limited server, filled at the whole limit and charged with its own requests and with those that the other entries report each 100 ms, in a datagram of a kind of its own. An entry uses only the part of a limit that the entries it hears of account for, so that entries without contact divide it. Dividing it always was ruled out: with uneven callers a server would get less than it allows.

--- a/crates/mgw-fleet/src/balance.rs
+++ b/crates/mgw-fleet/src/balance.rs
@@ -9,6 +9,7 @@
 use mgw_base::time::Instant;
 use rand::Rng;
 
+use crate::rate;
 use crate::roster::ServerKey;
 
 /// Half-life of the load that a target stated in its last response, as it becomes outdated.
@@ -42,12 +43,12 @@
 pub struct Load {
     /// Number of this process's requests at the target.
     pub in_flight: u32,
+    /// The target's limit on the rate of requests.
+    pub rate: rate::Bucket,
     report: Option<Report>,
     /// Failure rate as of `last_result`, 0 to 1.
     failure_rate: f64,
     last_result: Instant,
-    /// Requests per second that the target takes from all entries, as its last response stated.
-    pub request_limit: Option<f64>,
     /// Until when new requests avoid the target, because it stalled or refused a connection.
     avoided_until: Option<Instant>,
 }
--- a/crates/mgw-fleet/src/lib.rs
+++ b/crates/mgw-fleet/src/lib.rs
@@ -16,6 +16,8 @@
 pub mod group;
 pub mod peer_load;
 pub mod plan;
+pub mod rate;
+pub mod rate_report;
 pub mod roster;
 pub mod shutdown;
 pub mod source;
--- a/crates/mgw-gateway/src/admin.rs
+++ b/crates/mgw-gateway/src/admin.rs
@@ -148,7 +148,7 @@
         let now = clock::now();
         let groups = state.groups();
         let servable = groups.iter().filter(|group| group.is_servable).count() as u64;
-        let limited = |(_, server): &(_, &Server)| server.load.request_limit.is_some();
+        let limited = |(_, server): &(_, &Server)| server.load.rate.rate().is_some();
         let limited = state.roster.iter().filter(limited).count() as u64;
         let totals = state.planner.as_ref().map(Planner::totals).unwrap_or_default();
         let proof = state.config_proof.age(now).map_or(u64::MAX, |age| age.as_millis() as u64);
--- a/crates/mgw-gateway/src/forward.rs
+++ b/crates/mgw-gateway/src/forward.rs
@@ -32,6 +32,7 @@
 use crate::exchange::{Answer, Failure, Outcome};
 use crate::gateway::Gateway;
 use crate::in_flight::{Alarm, RequestKey, Wait};
+use crate::limit;
 use crate::reply::{self, Cause};
 
 /// Number of failed connections after which a request fails. Failed connections do not count as
@@ -264,10 +265,14 @@
             let peer_loads = Some(&state.peer_loads).filter(|peer_loads| !peer_loads.is_empty());
             let peer_requests =
                 |id: &str| peer_loads.map(|it| it.requests(peer_load::target_hash(id)));
+            let rate_share = limit::share(state);
+            let mut is_limited = false;
             let mut candidates: Vec<Candidate<'_>> = Vec::new();
             let mut add = |id: ServerKey, slots: u32| {
                 let Some(server) = state.roster.get(id) else { return };
-                if !has_suspect(id) {
+                if !server.load.rate.admits(rate_share, now) {
+                    is_limited = true;
+                } else if !has_suspect(id) {
                     candidates.push(Candidate {
                         id,
                         load: &server.load,
@@ -305,6 +310,7 @@
             let options = balance::Options { max_queued, ..balance::Options::default() };
             let chosen = balance::choose(&candidates, &options, now, &mut state.rng);
             let id = chosen.map_err(|error| match error {
+                balance::Error::NoTarget if is_limited => Cause::Full,
                 balance::Error::NoTarget => Cause::NoTarget,
                 balance::Error::Full => Cause::Full,
             })?;
--- a/crates/mgw-gateway/src/forward/attempt.rs
+++ b/crates/mgw-gateway/src/forward/attempt.rs
@@ -55,6 +55,7 @@
         target: &Target,
     ) -> Result<Outcome, Failure> {
         self.gateway.with(|state| {
+            limit::record_sent(state, target.id);
             if let Some(load) = state.roster.load_mut(target.id) {
                 load.in_flight += 1;
             }
--- a/crates/mgw-gateway/src/gossip.rs
+++ b/crates/mgw-gateway/src/gossip.rs
@@ -1,5 +1,6 @@
-//! Exchange of load reports ([`mgw_fleet::peer_load`]) and crash reports
-//! ([`mgw_fleet::crash_report`]) with the other entries, as UDP datagrams.
+//! Exchange of reports with the other entries, as UDP datagrams: of load
+//! ([`mgw_fleet::peer_load`]), of crashes ([`mgw_fleet::crash_report`]) and of servers with a
+//! request limit ([`mgw_fleet::rate_report`]).
 
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -13,6 +14,7 @@
 use mgw_fleet::entry::Phase;
 use mgw_fleet::peer_load::{self, FAN_OUT, PlannerStatus, Report};
 use mgw_fleet::plan::Planner;
+use mgw_fleet::rate_report;
 use mgw_route::poison::{Clearance, Evidence, Part};
 use rand::seq::SliceRandom;
 use tokio::net::UdpSocket;
@@ -20,6 +22,7 @@
 use crate::clock;
 use crate::forward::STALLED_COOLDOWN;
 use crate::gateway::{Gateway, State};
+use crate::limit;
 
 /// Receives and applies reports for as long as the process runs.
 pub async fn receive(gateway: Rc<Gateway>, socket: Rc<UdpSocket>) {
@@ -33,15 +36,22 @@
                 continue;
             }
         };
-        match (peer_load::decode(received), crash_report::decode(received)) {
-            (Some(report), _) => {
-                if gateway.with(|state| apply(state, report)) {
-                    gateway.servers_read_due.notify_one();
-                }
-            }
-            (None, Some(report)) => apply_crashes(&gateway, report),
-            (None, None) => gateway.count("share", "malformed"),
+        apply_datagram(&gateway, received);
+    }
+}
+
+/// Applies a report of any kind.
+fn apply_datagram(gateway: &Gateway, received: &[u8]) {
+    if let Some(report) = peer_load::decode(received) {
+        if gateway.with(|state| apply(state, report)) {
+            gateway.servers_read_due.notify_one();
         }
+    } else if let Some(report) = crash_report::decode(received) {
+        apply_crashes(gateway, report);
+    } else if let Some(report) = rate_report::decode(received) {
+        gateway.with(|state| limit::apply_report(state, &report));
+    } else {
+        gateway.count("share", "malformed");
     }
 }
 
@@ -111,11 +121,11 @@
     has_changed
 }
 
-/// Sends this entry's load report, and its crash report if there is news, to the other serving
-/// entries; to [`FAN_OUT`] random ones if there are more.
+/// Sends this entry's load report, and its reports of crashes and of limited servers if there is
+/// news, to the other serving entries; to [`FAN_OUT`] random ones if there are more.
 pub fn broadcast(gateway: &Gateway, socket: &UdpSocket, sequence: u64) {
     let port = gateway.settings.metrics_address.port();
-    let (report, crashes, peers) = gateway.with(|state| {
+    let (report, crashes, limits, peers) = gateway.with(|state| {
         let has_stale_view = state.has_stale_view;
         let status = |planner: &mut Planner| PlannerStatus {
             term: planner.term(),
@@ -144,12 +154,15 @@
             peers.partial_shuffle(&mut state.rng, FAN_OUT);
             peers.truncate(FAN_OUT);
         }
-        (report, crash_report(state), peers)
+        (report, crash_report(state), limit::reports(state, gateway.incarnation), peers)
     });
     send(gateway, socket, &peers, peer_load::encode(&report));
     if let Some(report) = crashes {
         send(gateway, socket, &peers, crash_report::encode(&report));
     }
+    for report in limits {
+        send(gateway, socket, &peers, rate_report::encode(&report));
+    }
 }
 
 /// Sends a datagram to all `peers`.
