Do not give up a stream because a server refused to resume it

Cause: the route allows two servers. The stream had run at one, whose group was dissolved, and was refused with Not-Executed by the second, which lost a member before the request began to run. The refusal used up the attempt.

The limit of a route is on servers that run a request. Once a stream has begun, up to two refusals no longer count, in whichever order they come, so a third server may resume it; retry budget and deadline hold as before. Requests without a response yet keep the former limit: they can be refused and come back.

--- a/crates/mgw-gateway/src/forward.rs
+++ b/crates/mgw-gateway/src/forward.rs
@@ -52,6 +52,10 @@
 /// streams of the present group make progress.
 const NEXT_EVENT_TIMEOUT: Duration = Duration::from_millis(1_500);
 
+/// Maximum number of refused attempts that do not count as attempts of the route once a stream has
+/// begun.
+const MAX_FREE_REFUSALS: u32 = 2;
+
 /// A stall timeout longer than any request.
 const NO_TIMEOUT: Duration = Duration::from_secs(86_400);
 
@@ -107,6 +111,8 @@
     tried: Vec<ServerKey>,
     /// Number of attempts so far, not counting failed connections.
     attempts: u32,
+    /// Number of attempts that servers refused without running the request.
+    refusals: u32,
     /// Number of failed connections.
     failed_connects: usize,
     /// Whether a server may have executed it.
@@ -341,6 +347,9 @@
         self.may_have_run |= self.has_begun_sending && failure.may_have_run();
         let now = clock::now();
         self.splitter.drop_partial();
+        if matches!(failure, Failure::NotRun { .. }) {
+            self.refusals += 1;
+        }
         if failure == Failure::ConnectionLost && self.has_begun_sending {
             let disconnect = Disconnect {
                 server: target.id,
@@ -378,12 +387,19 @@
             self.failed_connects += 1;
             return self.failed_connects < MAX_FAILED_CONNECTS;
         }
-        if self.attempts >= self.route().max_attempts || self.choose_target().is_err() {
+        if !self.has_attempts_left() || self.choose_target().is_err() {
             return false;
         }
         std::mem::take(&mut self.has_retry_permit) || self.draw_retry(now)
     }
 
+    /// Whether the route allows another attempt. Once a stream has begun, servers that refused it
+    /// without running it do not use up attempts.
+    fn has_attempts_left(&self) -> bool {
+        let free = if self.is_started { self.refusals.min(MAX_FREE_REFUSALS) } else { 0 };
+        self.attempts - free < self.route().max_attempts
+    }
+
     /// Draws a retry from the budget of the service; records an event if it is refused.
     fn draw_retry(&mut self, now: Instant) -> bool {
         let retry_request = retry::Request {
@@ -439,7 +455,7 @@
             Alarm::Deadline => Some(Failure::Deadline),
             Alarm::Stalled => {
                 let may_move = self.route().kind.is_repeatable()
-                    && self.attempts < self.route().max_attempts
+                    && self.has_attempts_left()
                     && now + MIN_ATTEMPT_TIME < self.deadline
                     && self.choose_target().is_ok()
                     && self.draw_retry(now);
--- a/crates/mgw-gateway/src/forward/admit.rs
+++ b/crates/mgw-gateway/src/forward/admit.rs
@@ -112,6 +112,7 @@
         wake,
         tried: Vec::new(),
         attempts: 0,
+        refusals: 0,
         failed_connects: 0,
         may_have_run: false,
         has_begun_sending: false,
