Do not confirm entries without heartbeats at followers

Cause: a follower took all entries that its reader lists for seen as of the time of the reader's knowledge. If the reader lost the store shortly before an ended entry timed out there, the timeout began anew at the follower, which then read the store itself: up to twice the timeout in all.

Now readers tell the age of the newest heartbeat of each entry that has sent none for more than an interval, so the timeout runs on at followers. The update has another version, which a reader sends only to followers that announce it in the request of their stream; builds of both kinds follow each other.

--- a/crates/mgw-fleet/src/entry.rs
+++ b/crates/mgw-fleet/src/entry.rs
@@ -295,12 +295,32 @@
         }
     }
 
-    /// Records that a reader of the store has confirmed the known entries as current at `as_of`.
-    pub fn confirm(&mut self, as_of: Instant) {
+    /// Records that a reader of the store has confirmed the known entries as current at `as_of`, but
+    /// for the `overdue` ones: these have sent no heartbeat since the given times.
+    pub fn confirm(&mut self, as_of: Instant, overdue: &[(SmolStr, Instant)]) {
+        let is_newest = self.last_read.is_none_or(|last_read| last_read <= as_of);
         self.last_read = self.last_read.max(Some(as_of));
-        self.entries.iter_mut().for_each(|(_, entry)| {
-            entry.last_seen = entry.last_seen.max(as_of);
-        });
+        for (name, entry) in self.entries.iter_mut() {
+            match overdue.iter().find(|(other, _)| other == name) {
+                Some((_, last_seen)) if is_newest => entry.last_seen = *last_seen,
+                Some(_) => {}
+                None => entry.last_seen = entry.last_seen.max(as_of),
+            }
+        }
+    }
+
+    /// The entries whose newest heartbeat is older than the interval of heartbeats, with its time;
+    /// at most `limit`, the oldest first.
+    pub fn overdue(&self, limit: usize, now: Instant) -> Vec<(&SmolStr, Instant)> {
+        let is_overdue = |entry: &Entry| now.since(entry.last_seen) > HEARTBEAT_INTERVAL;
+        let mut overdue: Vec<(&SmolStr, Instant)> = self
+            .serving()
+            .filter(|(_, entry)| is_overdue(entry))
+            .map(|(name, entry)| (name, entry.last_seen))
+            .collect();
+        overdue.sort_unstable_by_key(|(_, last_seen)| *last_seen);
+        overdue.truncate(limit);
+        overdue
     }
 
     /// Returns the newest leader record with its offset.
--- a/crates/mgw-fleet/src/feed.rs
+++ b/crates/mgw-fleet/src/feed.rs
@@ -23,6 +23,17 @@
 /// Version of the encoding, sent with each message.
 const FORMAT_VERSION: u8 = 1;
 
+/// Version of an [`Update`] that a list of [`Overdue`] entries follows. A reader sends it only to
+/// followers that announce [`Format::Overdue`].
+const OVERDUE_VERSION: u8 = 2;
+
+/// Header field of a stream's request by which a follower announces the format of updates that it
+/// reads. Readers of a former build ignore it.
+pub const FORMAT_FIELD: &str = "feed-format";
+
+/// Maximum number of overdue entries in an update; those without a heartbeat for longest are listed.
+pub const MAX_OVERDUE: usize = 32;
+
 /// Maximum size of an encoded message in bytes, with its version; larger than any configuration.
 const MAX_MESSAGE_BYTES: usize = 8 << 20;
 
@@ -157,6 +168,38 @@
     }
 }
 
+/// An entry whose newest heartbeat is older than the interval of heartbeats.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct Overdue {
+    /// Name of the entry.
+    pub name: String,
+    /// Age of its newest heartbeat in microseconds.
+    pub age: u64,
+}
+
+/// Format of the updates on a stream.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Format {
+    /// Updates do not say when the reader heard of each entry.
+    #[default]
+    Plain,
+    /// Updates with ages list the overdue entries.
+    Overdue,
+}
+
+impl Format {
+    /// The value of [`FORMAT_FIELD`] that announces [`Format::Overdue`].
+    pub const OVERDUE_VALUE: &str = "2";
+
+    /// The format that a follower announces; `value` is that of [`FORMAT_FIELD`], if it is present.
+    pub fn announced(value: Option<&[u8]>) -> Self {
+        match value {
+            Some(value) if value == Self::OVERDUE_VALUE.as_bytes() => Self::Overdue,
+            Some(_) | None => Self::Plain,
+        }
+    }
+}
+
 /// What a reader tells a follower. Parts that did not change are left out.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Encode, Decode)]
 pub struct Update {
@@ -219,11 +262,31 @@
 ///
 /// The message is too large, or the encoder fails.
 pub fn encode<T>(message: &T) -> Result<Bytes, Error>
+where
+    T: Encode,
+{
+    encode_version(FORMAT_VERSION, message)
+}
+
+/// Encodes an update and the overdue entries, in the format of the stream. [`Format::Plain`] leaves
+/// the entries out.
+///
+/// # Errors
+///
+/// The message is too large, or the encoder fails.
+pub fn encode_update(update: &Update, overdue: &[Overdue], format: Format) -> Result<Bytes, Error> {
+    match format {
+        Format::Plain => encode(update),
+        Format::Overdue => encode_version(OVERDUE_VERSION, &(update, overdue)),
+    }
+}
+
+fn encode_version<T>(version: u8, message: &T) -> Result<Bytes, Error>
 where
     T: Encode,
 {
     let mut bytes = vec![0; HEADER_BYTES];
-    bytes[HEADER_BYTES - 1] = FORMAT_VERSION;
+    bytes[HEADER_BYTES - 1] = version;
     bincode::encode_into_std_write(message, &mut bytes, bincode::config::standard())
         .map_err(|_| Error::Malformed)?;
     let size = bytes.len() - LENGTH_BYTES;
@@ -244,6 +307,30 @@
 where
     T: Decode<()>,
 {
+    let Some((version, body)) = take_message(input)? else { return Ok(None) };
+    match version {
+        FORMAT_VERSION => decode_body(&body).map(Some),
+        _ => Err(Error::Version),
+    }
+}
+
+/// Removes the next update from `input` and decodes it, with the overdue entries; there are none in
+/// [`Format::Plain`]. Returns `None` if the message is incomplete.
+///
+/// # Errors
+///
+/// The message is too large, malformed, or of another format version.
+pub fn decode_update(input: &mut BytesMut) -> Result<Option<(Update, Vec<Overdue>)>, Error> {
+    let Some((version, body)) = take_message(input)? else { return Ok(None) };
+    match version {
+        FORMAT_VERSION => Ok(Some((decode_body(&body)?, Vec::new()))),
+        OVERDUE_VERSION => decode_body(&body).map(Some),
+        _ => Err(Error::Version),
+    }
+}
+
+/// Removes the next message from `input`: its version and its body.
+fn take_message(input: &mut BytesMut) -> Result<Option<(u8, BytesMut)>, Error> {
     let Some(length) = input.first_chunk::<LENGTH_BYTES>() else { return Ok(None) };
     let size = u32::from_be_bytes(*length) as usize;
     if size > MAX_MESSAGE_BYTES {
@@ -253,14 +340,20 @@
         return Ok(None);
     }
     input.advance(LENGTH_BYTES);
-    let bytes = input.split_to(size);
-    let (version, rest) = bytes.split_first().ok_or(Error::Malformed)?;
-    if *version != FORMAT_VERSION {
-        return Err(Error::Version);
+    let mut bytes = input.split_to(size);
+    match bytes.try_get_u8() {
+        Ok(version) => Ok(Some((version, bytes))),
+        Err(_) => Err(Error::Malformed),
     }
+}
+
+fn decode_body<T>(body: &[u8]) -> Result<T, Error>
+where
+    T: Decode<()>,
+{
     let config = bincode::config::standard().with_limit::<MAX_MESSAGE_BYTES>();
-    match bincode::decode_from_slice(rest, config) {
-        Ok((message, used)) if used == rest.len() => Ok(Some(message)),
+    match bincode::decode_from_slice(body, config) {
+        Ok((message, used)) if used == body.len() => Ok(message),
         Ok(_) | Err(_) => Err(Error::Malformed),
     }
 }
--- a/crates/mgw-fleet/tests/entry.rs
+++ b/crates/mgw-fleet/tests/entry.rs
@@ -190,8 +190,33 @@
     for ms in [2_000, 3_000, 4_000, 4_500] {
         table.apply(&heartbeat_key("b"), ms, heartbeat_record(2, Phase::Serving), at(ms));
         table.record_read(at(ms));
-        table.confirm(at(1_200));
+        table.confirm(at(1_200), &[]);
     }
     let names: Vec<_> = table.serving().map(|(name, _)| name.as_str()).collect();
     assert_eq!(names, ["b"], "a was last seen at 1,200");
 }
+
+/// Guards against an ended entry that a follower keeps for another timeout, as its reader confirms
+/// it up to shortly before it times out there.
+#[test]
+fn a_reader_does_not_confirm_overdue_entries() {
+    let (mut reader, mut follower) = (table(), table());
+    for ms in (1_500..=4_000).step_by(500) {
+        reader.apply(&heartbeat_key("b"), ms, heartbeat_record(2, Phase::Serving), at(ms));
+        reader.record_read(at(ms));
+        let overdue: Vec<_> = reader
+            .overdue(8, at(ms))
+            .into_iter()
+            .map(|(name, last_seen)| (name.clone(), last_seen))
+            .collect();
+        follower.confirm(at(ms), &overdue);
+    }
+    let names = |table: &Table| -> Vec<String> {
+        table.serving().map(|(name, _)| name.to_string()).collect()
+    };
+    assert_eq!(names(&follower), ["a", "b"]);
+    // The follower reads the store itself from here on.
+    follower.apply(&heartbeat_key("b"), 4_300, heartbeat_record(2, Phase::Serving), at(4_300));
+    follower.record_read(at(4_300));
+    assert_eq!(names(&follower), ["b"], "a was last seen at 1,000");
+}
--- a/crates/mgw-fleet/tests/feed.rs
+++ b/crates/mgw-fleet/tests/feed.rs
@@ -7,7 +7,7 @@
 use bytes::BytesMut;
 use common::{at, record};
 use mgw_fleet::entry::{Heartbeat, Leader, Member, Phase, Record, Table, heartbeat_key};
-use mgw_fleet::feed::{self, Ages, Error, Members, Poll, Progress, Servers, Update};
+use mgw_fleet::feed::{self, Ages, Error, Format, Members, Poll, Progress, Servers, Update};
 use mgw_fleet::roster::{self, Roster};
 use mgw_fleet::source::{Link, MAX_FEED_AGE, READER_TIMEOUT, Selector, Source};
 
@@ -257,3 +257,19 @@
     table.apply(&heartbeat_key("a1"), 9, with(Vec::new()), at(1_400));
     assert_eq!(names(&table), ["a0", "a1"]);
 }
+
+/// Guards against followers and readers of two builds that do not understand each other.
+#[test]
+fn updates_are_readable_in_the_format_that_the_follower_announces() {
+    let update = Update { servers: None, ..Update::default() };
+    let overdue = vec![feed::Overdue { name: "a".into(), age: 7 }];
+    let plain = feed::encode_update(&update, &overdue, Format::announced(None)).expect("encodes");
+    assert_eq!(plain, feed::encode(&update).expect("encodes"));
+    let mut input = BytesMut::from(&plain[..]);
+    assert_eq!(feed::decode_update(&mut input), Ok(Some((update.clone(), Vec::new()))));
+    let announced = Format::announced(Some(Format::OVERDUE_VALUE.as_bytes()));
+    let bytes = feed::encode_update(&update, &overdue, announced).expect("encodes");
+    let mut input = BytesMut::from(&bytes[..]);
+    assert_eq!(feed::decode_update(&mut input), Ok(Some((update, overdue))));
+    assert_eq!(feed::decode::<Update>(&mut BytesMut::from(&bytes[..])), Err(Error::Version));
+}
--- a/crates/mgw-gateway/src/feed.rs
+++ b/crates/mgw-gateway/src/feed.rs
@@ -10,7 +10,6 @@
 use std::fmt;
 use std::time::Duration;
 
-use bincode::Decode;
 use bytes::BytesMut;
 use h2::RecvStream;
 use mgw_fleet::feed;
@@ -61,15 +60,20 @@
 
 impl std::error::Error for Error {}
 
-/// Reads the next message of a stream; `input` holds bytes of messages that are incomplete.
+/// Reads the next message of a stream with `decode`; `input` holds bytes of messages that are
+/// incomplete.
 ///
 /// Cancel safe: a cancelled call loses no bytes.
-async fn read_message<T>(stream: &mut RecvStream, input: &mut BytesMut) -> Result<T, Error>
+async fn read_message<T, F>(
+    stream: &mut RecvStream,
+    input: &mut BytesMut,
+    decode: F,
+) -> Result<T, Error>
 where
-    T: Decode<()>,
+    F: Fn(&mut BytesMut) -> Result<Option<T>, feed::Error>,
 {
     loop {
-        if let Some(message) = feed::decode(input).map_err(Error::Message)? {
+        if let Some(message) = decode(input).map_err(Error::Message)? {
             return Ok(message);
         }
         let bytes = stream.data().await.ok_or(Error::StreamClosed)?.map_err(Error::Transport)?;
--- a/crates/mgw-gateway/src/feed/follower.rs
+++ b/crates/mgw-gateway/src/feed/follower.rs
@@ -12,7 +12,7 @@
 use mgw_event::Kind;
 use mgw_event::event::Body;
 use mgw_fleet::entry::{Heartbeat, Phase};
-use mgw_fleet::feed::{self, Ages, Members, Poll, Servers, Update};
+use mgw_fleet::feed::{self, Ages, Format, Members, Overdue, Poll, Servers, Update};
 use mgw_fleet::source::{
     MAX_FEED_AGE, MIN_FOLLOW_TIME, POLL_INTERVAL, READER_TIMEOUT, Selector, Source,
 };
@@ -116,7 +116,10 @@
         let _ = link.await;
     });
     let mut client = client.ready().await.map_err(Error::Transport)?;
-    let request = Request::post(STREAM_URI).body(()).map_err(|_| Error::StreamClosed)?;
+    let request = Request::post(STREAM_URI)
+        .header(feed::FORMAT_FIELD, Format::OVERDUE_VALUE)
+        .body(())
+        .map_err(|_| Error::StreamClosed)?;
     let (response, polls) = client.send_request(request, false).map_err(Error::Transport)?;
     let updates = response.await.map_err(Error::Transport)?.into_body();
     Ok((polls, updates))
@@ -146,14 +149,14 @@
         tokio::pin!(due);
         loop {
             tokio::select! {
-                message = read_message::<Update>(&mut updates, &mut input) => {
+                message = read_message(&mut updates, &mut input, feed::decode_update) => {
                     let now = clock::now();
-                    let message = message?;
+                    let (message, overdue) = message?;
                     if message.ages.is_some() {
                         last_response = now;
                     }
                     let has_resigned = gateway.with(|state| {
-                        apply_update(state, reader, message, &mut held_members, now);
+                        apply_update(state, reader, message, &overdue, &mut held_members, now);
                         state.refresh_members();
                         state.resign(now)
                     });
@@ -210,6 +213,7 @@
     state: &mut State,
     reader: &SmolStr,
     update: Update,
+    overdue: &[Overdue],
     held_members: &mut Option<Members>,
     now: Instant,
 ) {
@@ -235,7 +239,9 @@
     if let Some(ages) = update.ages {
         apply_ages(state, ages, now);
         if held_members.is_none() {
-            state.entries.confirm(ages.as_of(ages.entries));
+            let last_seen = |it: &Overdue| (SmolStr::from(&it.name), ages.as_of(it.age));
+            let overdue: Vec<(SmolStr, Instant)> = overdue.iter().map(last_seen).collect();
+            state.entries.confirm(ages.as_of(ages.entries), &overdue);
         }
     }
 }
--- a/crates/mgw-gateway/src/feed/reader.rs
+++ b/crates/mgw-gateway/src/feed/reader.rs
@@ -9,7 +9,7 @@
 use http::{Request, Response};
 use mgw_base::time::Instant;
 use mgw_fleet::entry::{Entry, Heartbeat, Member};
-use mgw_fleet::feed::{self, Ages, Members, Poll, Progress, Update};
+use mgw_fleet::feed::{self, Ages, Format, Members, Overdue, Poll, Progress, Update};
 use smol_str::SmolStr;
 use tokio::net::{TcpListener, TcpStream};
 
@@ -84,6 +84,8 @@
 struct Cursor {
     /// Name of the follower; empty before its first poll.
     name: SmolStr,
+    /// Format of the updates.
+    format: Format,
     /// Offset of the newest configuration sent.
     config: Option<u64>,
     /// What was sent of the server list.
@@ -98,10 +100,12 @@
     request: Request<RecvStream>,
     mut respond: SendResponse<Bytes>,
 ) -> Result<(), Error> {
+    let announced = request.headers().get(feed::FORMAT_FIELD).map(|value| value.as_bytes());
+    let format = Format::announced(announced);
     let mut polls = request.into_body();
     let mut updates = respond.send_response(Response::new(()), false).map_err(Error::Transport)?;
     let mut changes = gateway.state_changed.subscribe();
-    let (mut input, mut cursor) = (BytesMut::new(), Cursor::default());
+    let (mut input, mut cursor) = (BytesMut::new(), Cursor { format, ..Cursor::default() });
     let result =
         exchange_messages(gateway, &mut polls, &mut updates, &mut changes, &mut input, &mut cursor)
             .await;
@@ -124,7 +128,7 @@
 ) -> Result<(), Error> {
     let mut pushes = MAX_PUSHES_PER_POLL;
     loop {
-        let next_poll = read_message::<Poll>(polls, input);
+        let next_poll = read_message(polls, input, feed::decode::<Poll>);
         tokio::pin!(next_poll);
         let poll = tokio::select! {
             biased;
@@ -145,7 +149,12 @@
             }
         };
         if !message.is_empty() {
-            let bytes = feed::encode(&message).map_err(Error::Message)?;
+            let overdue = match message.ages {
+                Some(_) => gateway.with(|state| state.overdue_entries(clock::now())),
+                None => Vec::new(),
+            };
+            let bytes = feed::encode_update(&message, &overdue, cursor.format);
+            let bytes = bytes.map_err(Error::Message)?;
             updates.send_data(bytes, false).map_err(Error::Transport)?;
         }
         if message.ages.is_none() {
@@ -218,6 +227,17 @@
         Some(Ages { timestamp, config, servers, entries })
     }
 
+    /// The entries that followers must not take for current.
+    fn overdue_entries(&self, now: Instant) -> Vec<Overdue> {
+        let overdue = self.entries.overdue(feed::MAX_OVERDUE, now).into_iter();
+        overdue
+            .map(|(name, last_seen)| Overdue {
+                name: name.to_string(),
+                age: now.since(last_seen).as_micros() as u64,
+            })
+            .collect()
+    }
+
     /// Updates the members that followers get, and raises their revision if they have changed.
     pub fn refresh_members(&mut self) {
         let member = |(name, entry): (&SmolStr, &Entry)| Member {
