Do not answer 503 to requests that may have run

Callers of repeatable requests got 503, which states that the request has not run, after one server had lost it and the connection to the next one failed.

Cause: a failed connection is followed by a new choice of a target, and the cause of its failure (no_target, full, quarantined) became the response. Other ways to the end of a request took may_have_run into account.

Now such a request ends with 502 server_failed. Non-idempotent requests were not affected, as they are not sent on.

Before: requests_that_may_have_run_are_not_refused failed with 503.

--- a/crates/mgw-gateway/src/forward.rs
+++ b/crates/mgw-gateway/src/forward.rs
@@ -206,6 +206,8 @@
         loop {
             let target = match self.choose_target() {
                 Ok(target) => target,
+                // Most causes of a missing target would state that the request has not run.
+                Err(_) if self.may_have_run => return self.fail(caller, Cause::ServerFailed).await,
                 Err(cause) => return self.fail(caller, cause).await,
             };
             self.last_target = target.name.clone();
