Keep entries known when a former reader stops listing them

Cause: a reader lists a follower for 0.7 s after it has left. Such a record comes after the entry's own first heartbeat and takes it over, and the reader's next record, without the entry, removes it.

Now an entry that a writer no longer lists counts as seen when it last wrote a record of its own.

--- a/crates/mgw-fleet/src/entry.rs
+++ b/crates/mgw-fleet/src/entry.rs
@@ -164,6 +164,8 @@
     /// Name of the entry that wrote the record: the entry itself, or the reader that it follows.
     /// Empty if the heartbeat came from a reader that this process follows.
     source: SmolStr,
+    /// When the entry's newest record of its own was seen; `None` if none is known.
+    own_seen: Option<Instant>,
 }
 
 /// An entry's part in the election of the planner.
@@ -209,11 +211,7 @@
         match (key.strip_prefix("entry/"), record) {
             (Some(name), Record::Heartbeat { own, followers, .. }) => {
                 let source = SmolStr::new(name);
-                // Drops entries that an older record of this writer listed and this one does not.
-                self.entries.retain(|known, entry| {
-                    let is_listed = known == name || followers.iter().any(|it| known == &it.name);
-                    entry.source != source || entry.offset > offset || is_listed
-                });
+                self.delist(&source, &followers, offset);
                 self.upsert(source.clone(), own, offset, &source, seen_at);
                 for member in followers {
                     self.upsert(member.name.into(), member.heartbeat, offset, &source, seen_at);
@@ -226,6 +224,22 @@
         }
     }
 
+    /// Handles the entries that an older record of the writer `source` listed and the one at `offset`
+    /// does not. They count as seen when they last wrote a record of their own, as the writer goes on
+    /// listing a follower for a while after it has left.
+    fn delist(&mut self, source: &SmolStr, followers: &[Member], offset: u64) {
+        self.entries.retain(|name, entry| {
+            let is_listed = name == source || followers.iter().any(|it| name == &it.name);
+            if entry.source != *source || entry.offset > offset || is_listed {
+                return true;
+            }
+            let Some(own_seen) = entry.own_seen else { return false };
+            entry.source = name.clone();
+            entry.last_seen = own_seen;
+            true
+        });
+    }
+
     /// Stores a heartbeat unless one with a higher offset is known.
     fn upsert(
         &mut self,
@@ -235,9 +249,13 @@
         source: &SmolStr,
         last_seen: Instant,
     ) {
-        let is_newer = self.entries.get(&name).is_none_or(|known| known.offset <= offset);
-        if is_newer {
-            let entry = Entry { heartbeat, last_seen, offset, source: source.clone() };
+        let known = self.entries.get(&name);
+        if known.is_none_or(|known| known.offset <= offset) {
+            let own_seen = match name == *source {
+                true => Some(last_seen),
+                false => known.and_then(|known| known.own_seen),
+            };
+            let entry = Entry { heartbeat, last_seen, offset, source: source.clone(), own_seen };
             self.entries.insert(name, entry);
         }
     }
@@ -281,6 +299,7 @@
                 last_seen: now,
                 offset,
                 source: SmolStr::default(),
+                own_seen: None,
             };
             (SmolStr::from(member.name), entry)
         };
--- a/crates/mgw-fleet/tests/entry.rs
+++ b/crates/mgw-fleet/tests/entry.rs
@@ -6,7 +6,8 @@
 
 use common::at;
 use mgw_fleet::entry::{
-    Heartbeat, LEADER_KEY, Leader, Phase, Record, Role, Table, decode, encode, heartbeat_key,
+    Heartbeat, LEADER_KEY, Leader, Member, Phase, Record, Role, Table, decode, encode,
+    heartbeat_key,
 };
 use mgw_fleet::freshness::Proof;
 
@@ -220,3 +221,47 @@
     follower.record_read(at(4_300));
     assert_eq!(names(&follower), ["b"], "a was last seen at 1,000");
 }
+
+/// A heartbeat record of `b` that lists `followers`.
+fn listing(followers: &[&str]) -> Record {
+    let member =
+        |name: &&str| Member { name: name.to_string(), heartbeat: heartbeat_of(3, Phase::Serving) };
+    let followers = followers.iter().map(member).collect();
+    Record::Heartbeat { wall_ms: 0, own: heartbeat_of(2, Phase::Serving), followers }
+}
+
+fn is_serving(table: &Table, name: &str) -> bool {
+    table.serving().any(|(other, _)| other.as_str() == name)
+}
+
+/// Guards against an entry that vanishes from the directory when it stops following a reader: the
+/// reader lists it for a while after the entry's own heartbeat, and then no longer.
+#[test]
+fn an_entry_stays_known_when_its_former_reader_stops_listing_it() {
+    let mut table = table();
+    table.apply(&heartbeat_key("b"), 10, listing(&["f"]), at(1_000));
+    table.apply(&heartbeat_key("f"), 11, heartbeat_record(3, Phase::Serving), at(1_500));
+    table.apply(&heartbeat_key("b"), 12, listing(&["f"]), at(1_600));
+    table.apply(&heartbeat_key("b"), 13, listing(&[]), at(2_400));
+    table.record_read(at(2_500));
+    assert!(is_serving(&table, "f"), "its own heartbeat is 1 s old");
+    table.record_read(at(3_600));
+    table.apply(&heartbeat_key("b"), 14, listing(&[]), at(4_600));
+    table.record_read(at(4_750));
+    assert!(!is_serving(&table, "f"), "last seen at 1,500");
+}
+
+/// Guards against an ended follower that stays known by a heartbeat from before it followed.
+#[test]
+fn a_follower_that_is_no_longer_listed_is_gone() {
+    let mut table = table();
+    table.apply(&heartbeat_key("f"), 9, heartbeat_record(3, Phase::Serving), at(500));
+    for (offset, ms) in [(10, 1_000), (11, 2_200), (12, 3_400)] {
+        table.apply(&heartbeat_key("b"), offset, listing(&["f"]), at(ms));
+        table.record_read(at(ms));
+    }
+    assert!(is_serving(&table, "f"));
+    table.apply(&heartbeat_key("b"), 13, listing(&[]), at(4_000));
+    table.record_read(at(4_000));
+    assert!(!is_serving(&table, "f"));
+}
