Split the proxy path by the choice of targets and by records

Moved without change: the choice of a target to forward/target.rs, what is recorded of a request to forward/record.rs. Lost requests carry the parts of their prompts in one form, not as text beside.

--- a/crates/mgw-gateway/src/crash.rs
+++ b/crates/mgw-gateway/src/crash.rs
@@ -38,8 +38,8 @@
     pub request: InFlight,
     /// Id of the caller's attempt.
     pub attempt_id: SmolStr,
-    /// Ids of the parts of its prompt that other requests may share.
-    pub shared_parts: Vec<SmolStr>,
+    /// Parts of its prompt that other requests may share.
+    pub shared_parts: Vec<Part>,
     /// Time since the server sent the first event; `None` if it had sent none.
     pub writing_for: Option<Duration>,
 }
@@ -56,7 +56,8 @@
             Some(time) => format!("first event {} ms before", time.as_millis()),
             None => "no event yet".into(),
         };
-        let parts = self.shared_parts.join(" ");
+        let parts: Vec<String> = self.shared_parts.iter().map(Part::to_string).collect();
+        let parts = parts.join(" ");
         format!("{progress}, suspect: {}, shared parts: {parts}", self.request.suspect)
     }
 }
@@ -117,9 +118,8 @@
     let started = crashed.record.started_ms.to_le_bytes();
     let process = hash::parts(&[crashed.id.as_bytes(), &started]) as u64;
     for request in lost.iter().filter(|it| it.is_suspected()) {
-        let parts: Vec<Part> = request.shared_parts.iter().map(|id| Part::from_id(id)).collect();
         let fingerprint = request.request.fingerprint as u64;
-        state.poison.record_crash(&parts, fingerprint, process, now);
+        state.poison.record_crash(&request.shared_parts, fingerprint, process, now);
     }
     state.record_poison_changes();
 }
--- a/crates/mgw-gateway/src/forward.rs
+++ b/crates/mgw-gateway/src/forward.rs
@@ -3,7 +3,9 @@
 
 mod admit;
 mod attempt;
+mod record;
 mod response;
+mod target;
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -12,14 +14,11 @@
 use mgw_base::time::Instant;
 use mgw_event::Kind as EventKind;
 use mgw_event::event::Body;
-use mgw_fleet::balance::{self, Candidate};
 use mgw_fleet::config::{Config, Kind, Route};
-use mgw_fleet::peer_load;
-use mgw_fleet::roster::{Phase, ServerKey};
+use mgw_fleet::roster::ServerKey;
 use mgw_http::head::Request;
 use mgw_http::sse::Splitter;
-use mgw_route::poison::{Part, SETTLE_TIME};
-use mgw_route::quarantine::InFlight;
+use mgw_route::poison::Part;
 use mgw_route::retry;
 use platform::header;
 use rand::Rng;
@@ -28,30 +27,21 @@
 
 use crate::clock;
 use crate::connection::Connection;
-use crate::crash::{self, Disconnect};
 use crate::exchange::{Answer, Failure, Outcome};
 use crate::gateway::Gateway;
-use crate::in_flight::{Alarm, RequestKey, Wait};
-use crate::limit;
+use crate::in_flight::{Alarm, RequestKey};
 use crate::reply::{self, Cause};
 
 /// Number of failed connections after which a request fails. Failed connections do not count as
 /// attempts and need no retry budget.
 const MAX_FAILED_CONNECTS: usize = 4;
 
-/// Time for which new requests avoid a server after a failed connection to it or a 421 response.
-const UNREACHABLE_COOLDOWN: Duration = Duration::from_millis(1_000);
-
 /// Time for which new requests avoid a stalled target.
 pub const STALLED_COOLDOWN: Duration = Duration::from_millis(1_500);
 
 /// Minimum time until the deadline for another attempt to be made.
 const MIN_ATTEMPT_TIME: Duration = Duration::from_millis(60);
 
-/// Time without an event after which a resumable stream may move to another group, even if other
-/// streams of the present group make progress.
-const NEXT_EVENT_TIMEOUT: Duration = Duration::from_millis(1_500);
-
 /// Maximum number of refused attempts that do not count as attempts of the route once a stream has
 /// begun.
 const MAX_FREE_REFUSALS: u32 = 2;
@@ -59,13 +49,6 @@
 /// A stall timeout longer than any request.
 const NO_TIMEOUT: Duration = Duration::from_secs(86_400);
 
-/// Maximum requests waiting at a group, beyond those that run in its slots.
-const GROUP_QUEUE_LIMIT: f64 = 3.0;
-
-/// Maximum requests waiting at a plain server, as a multiple of the largest number of slots of any
-/// server of its service.
-const PLAIN_QUEUE_FACTOR: f64 = 2.0;
-
 /// Whether the caller's connection stays open after the response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Persistence {
@@ -75,16 +58,6 @@
     Close,
 }
 
-/// The server chosen for an attempt: a plain server or the head of a group.
-#[derive(Clone, Debug)]
-struct Target {
-    id: ServerKey,
-    name: SmolStr,
-    address: std::net::SocketAddr,
-    /// Estimated requests of all entries at the server when it was chosen.
-    requests: f64,
-}
-
 /// An admitted request with the state of its attempts and its response.
 struct ActiveRequest<'a> {
     gateway: &'a Rc<Gateway>,
@@ -250,89 +223,6 @@
         }
     }
 
-    /// Chooses a target for the next attempt. A suspect is not sent to a target that already has a
-    /// suspect of this entry, so that a crash can be blamed on one request.
-    fn choose_target(&self) -> Result<Target, Cause> {
-        let now = clock::now();
-        let gateway = self.gateway;
-        gateway.with(|state| {
-            if state.poison.is_quarantined(&self.shared_parts) {
-                return Err(Cause::Quarantined);
-            }
-            let groups = state.groups();
-            let Some(service) = self.config.services.get(&self.service) else {
-                return Err(Cause::NoTarget);
-            };
-            let has_suspect = |id: ServerKey| {
-                self.suspect
-                    && state
-                        .requests
-                        .at_target(id)
-                        .any(|it| it.is_suspect && it.fingerprint != 0 && it.target == Some(id))
-            };
-            let peer_loads = Some(&state.peer_loads).filter(|peer_loads| !peer_loads.is_empty());
-            let peer_requests =
-                |id: &str| peer_loads.map(|it| it.requests(peer_load::target_hash(id)));
-            let rate_share = limit::share(state);
-            let mut is_limited = false;
-            let mut candidates: Vec<Candidate<'_>> = Vec::new();
-            let mut add = |id: ServerKey, slots: u32| {
-                let Some(server) = state.roster.get(id) else { return };
-                if !server.load.rate.admits(rate_share, now) {
-                    is_limited = true;
-                } else if !has_suspect(id) {
-                    candidates.push(Candidate {
-                        id,
-                        load: &server.load,
-                        requests: server.load.estimated_requests(peer_requests(&server.id), now),
-                        slots,
-                        is_same_zone: server.record.zone == gateway.settings.zone,
-                        is_tried: self.tried.contains(&id),
-                    });
-                }
-            };
-            let max_queued = match &service.engine {
-                Some(engine) => {
-                    let model = self.metadata.model.as_deref();
-                    let wanted =
-                        engine.models.iter().position(|it| Some(it.name.as_str()) == model);
-                    groups
-                        .iter()
-                        .filter(|it| it.is_servable && it.service == self.service)
-                        .filter(|it| wanted.is_none_or(|wanted| wanted == it.model))
-                        .for_each(|it| add(it.head, engine.slots));
-                    GROUP_QUEUE_LIMIT
-                }
-                None => {
-                    let ready = state.roster.iter().filter(|(_, it)| {
-                        it.record.service == self.service && it.record.phase == Phase::Ready
-                    });
-                    let mut slots = 0;
-                    for (id, server) in ready {
-                        slots = slots.max(server.record.slots);
-                        add(id, server.record.slots);
-                    }
-                    f64::from(slots) * PLAIN_QUEUE_FACTOR
-                }
-            };
-            let options = balance::Options { max_queued, ..balance::Options::default() };
-            let chosen = balance::choose(&candidates, &options, now, &mut state.rng);
-            let id = chosen.map_err(|error| match error {
-                balance::Error::NoTarget if is_limited => Cause::Full,
-                balance::Error::NoTarget => Cause::NoTarget,
-                balance::Error::Full => Cause::Full,
-            })?;
-            let requests = candidates.iter().find(|it| it.id == id).map(|it| it.requests);
-            let server = state.roster.get(id).ok_or(Cause::NoTarget)?;
-            Ok(Target {
-                id,
-                name: server.id.clone(),
-                address: server.record.address,
-                requests: requests.unwrap_or_default(),
-            })
-        })
-    }
-
     /// The cause in the local reply after the failure of the last attempt.
     fn failure_cause(&self, failure: Failure) -> Cause {
         match failure {
@@ -343,39 +233,6 @@
         }
     }
 
-    /// Records the failure of an attempt: for the request, the load of the target, the pool and the
-    /// detection of crashes.
-    fn record_failure(&mut self, target: &Target, failure: Failure) {
-        self.may_have_run |= self.has_begun_sending && failure.may_have_run();
-        let now = clock::now();
-        self.splitter.drop_partial();
-        if matches!(failure, Failure::NotRun { .. }) {
-            self.refusals += 1;
-        }
-        if failure == Failure::ConnectionLost && self.has_begun_sending {
-            let disconnect = Disconnect {
-                server: target.id,
-                request: InFlight { fingerprint: self.fingerprint, suspect: self.suspect },
-                attempt_id: self.metadata.attempt_id.clone(),
-                shared_parts: self.metadata.shared_parts.clone(),
-                writing_for: self.writing_since.map(|since| now.since(since)),
-            };
-            crash::record_disconnect(self.gateway, target.address, disconnect);
-        }
-        self.gateway.with(|state| {
-            if matches!(failure, Failure::Connect | Failure::ConnectionLost) {
-                state.pool.close_idle(target.id);
-            }
-            let Some(load) = state.roster.load_mut(target.id) else { return };
-            match failure {
-                Failure::Connect => load.avoid_until(now + UNREACHABLE_COOLDOWN),
-                Failure::ConnectionLost | Failure::Malformed => load.record_result(true, now),
-                Failure::NotRun { status: 421 } => load.avoid_until(now + UNREACHABLE_COOLDOWN),
-                _ => {}
-            }
-        });
-    }
-
     /// Whether the request may be sent to another server after `failure`. If so, counts a failed
     /// connection, or draws a retry from the budget unless one has already been drawn.
     fn prepare_retry(&mut self, failure: Failure) -> bool {
@@ -466,82 +323,4 @@
             }
         }
     }
-
-    /// Sets what the request waits for in the table of requests in flight, and restarts its stall
-    /// timeout.
-    fn set_wait(&self, target: Option<ServerKey>, wait: Wait, stall_timeout: Duration) {
-        let now = clock::now();
-        self.gateway.with(|state| {
-            let Some(in_flight) = state.requests.get_mut(self.request_key) else { return };
-            in_flight.target = target;
-            in_flight.wait = wait;
-            in_flight.stall_timeout = stall_timeout;
-            in_flight.last_progress = now;
-        });
-    }
-
-    /// Records that the server of the present attempt has sent a part of its answer. Once it has
-    /// answered for [`SETTLE_TIME`] or up to the end, the parts of the prompt are cleared.
-    fn record_answering(&mut self, is_complete: bool) {
-        let now = clock::now();
-        let began = *self.writing_since.get_or_insert(now);
-        if !self.has_settled && (is_complete || now.since(began) >= SETTLE_TIME) {
-            self.has_settled = true;
-            self.gateway.with(|state| {
-                state.poison.record_answer(&self.shared_parts, began, now);
-                state.record_poison_changes();
-            });
-        }
-    }
-
-    /// Records that a part of the stream from `target` has been relayed, and waits for the next
-    /// event.
-    fn record_progress(&self, target: ServerKey) {
-        let stall_timeout = match self.route().kind {
-            Kind::ResumableStream => NEXT_EVENT_TIMEOUT,
-            _ => NO_TIMEOUT,
-        };
-        self.set_wait(Some(target), Wait::Event, stall_timeout);
-    }
-
-    /// Records the latencies of a request whose response is complete.
-    fn record_completion(&self, label: &'static str, status: u16) {
-        let now = clock::now();
-        let whole = now.since(self.arrived);
-        let first = self.first_event.map_or(whole, |at| at.since(self.arrived));
-        self.gateway.with(|state| {
-            state.metrics.count("requests", label);
-            state.metrics.latency("first_byte", first);
-            state.metrics.latency("answer", whole);
-            state.metrics.latency("pause", self.event_gap.1);
-        });
-        let text = format!(
-            "{label} {status}, first byte {} ms, longest gap {} ms, total {} ms",
-            first.as_millis(),
-            self.event_gap.1.as_millis(),
-            whole.as_millis()
-        );
-        self.record_event(EventKind::RequestCompleted, &text);
-    }
-
-    /// Records an event about the request, with its route, attempts, target and age.
-    fn record_event(&self, kind: EventKind, text: &str) {
-        let now = clock::now();
-        let age = now.since(self.arrived).as_millis();
-        let route = &self.route().name;
-        self.gateway.with(|state| {
-            let proof = state.config_proof.age(now).map_or(0, |age| age.as_millis());
-            let text = format!(
-                "{text}; route {route}, config {} proven {proof} ms ago, attempt {}, \
-                 target load {:.1}, age {age} ms",
-                self.config.version, self.attempts, self.target_load
-            );
-            let event = Body::new(kind)
-                .request(&self.metadata.attempt_id)
-                .instance(&self.last_target)
-                .team(self.team.as_deref().unwrap_or_default())
-                .text(text);
-            state.journal.record(event);
-        });
-    }
 }
--- /dev/null
+++ b/crates/mgw-gateway/src/forward/record.rs
@@ -0,0 +1,137 @@
+//! What becomes known of a request on its way: failures, progress, completion, and events.
+
+use std::time::Duration;
+
+use mgw_event::Kind as EventKind;
+use mgw_event::event::Body;
+use mgw_fleet::config::Kind;
+use mgw_fleet::roster::ServerKey;
+use mgw_route::poison::SETTLE_TIME;
+use mgw_route::quarantine::InFlight;
+
+use crate::clock;
+use crate::crash::{self, Disconnect};
+use crate::exchange::Failure;
+use crate::forward::target::Target;
+use crate::forward::{ActiveRequest, NO_TIMEOUT};
+use crate::in_flight::Wait;
+
+/// Time for which new requests avoid a server after a failed connection to it or a 421 response.
+const UNREACHABLE_COOLDOWN: Duration = Duration::from_millis(1_000);
+
+/// Time without an event after which a resumable stream may move to another group, even if other
+/// streams of the present group make progress.
+const NEXT_EVENT_TIMEOUT: Duration = Duration::from_millis(1_500);
+
+impl ActiveRequest<'_> {
+    /// Records the failure of an attempt: for the request, the load of the target, the pool and the
+    /// detection of crashes.
+    pub(super) fn record_failure(&mut self, target: &Target, failure: Failure) {
+        self.may_have_run |= self.has_begun_sending && failure.may_have_run();
+        let now = clock::now();
+        self.splitter.drop_partial();
+        if matches!(failure, Failure::NotRun { .. }) {
+            self.refusals += 1;
+        }
+        if failure == Failure::ConnectionLost && self.has_begun_sending {
+            let disconnect = Disconnect {
+                server: target.id,
+                request: InFlight { fingerprint: self.fingerprint, suspect: self.suspect },
+                attempt_id: self.metadata.attempt_id.clone(),
+                shared_parts: self.shared_parts.clone(),
+                writing_for: self.writing_since.map(|since| now.since(since)),
+            };
+            crash::record_disconnect(self.gateway, target.address, disconnect);
+        }
+        self.gateway.with(|state| {
+            if matches!(failure, Failure::Connect | Failure::ConnectionLost) {
+                state.pool.close_idle(target.id);
+            }
+            let Some(load) = state.roster.load_mut(target.id) else { return };
+            match failure {
+                Failure::Connect => load.avoid_until(now + UNREACHABLE_COOLDOWN),
+                Failure::ConnectionLost | Failure::Malformed => load.record_result(true, now),
+                Failure::NotRun { status: 421 } => load.avoid_until(now + UNREACHABLE_COOLDOWN),
+                _ => {}
+            }
+        });
+    }
+
+    /// Sets what the request waits for in the table of requests in flight, and restarts its stall
+    /// timeout.
+    pub(super) fn set_wait(&self, target: Option<ServerKey>, wait: Wait, stall_timeout: Duration) {
+        let now = clock::now();
+        self.gateway.with(|state| {
+            let Some(in_flight) = state.requests.get_mut(self.request_key) else { return };
+            in_flight.target = target;
+            in_flight.wait = wait;
+            in_flight.stall_timeout = stall_timeout;
+            in_flight.last_progress = now;
+        });
+    }
+
+    /// Records that the server of the present attempt has sent a part of its answer. Once it has
+    /// answered for [`SETTLE_TIME`] or up to the end, the parts of the prompt are cleared.
+    pub(super) fn record_answering(&mut self, is_complete: bool) {
+        let now = clock::now();
+        let began = *self.writing_since.get_or_insert(now);
+        if !self.has_settled && (is_complete || now.since(began) >= SETTLE_TIME) {
+            self.has_settled = true;
+            self.gateway.with(|state| {
+                state.poison.record_answer(&self.shared_parts, began, now);
+                state.record_poison_changes();
+            });
+        }
+    }
+
+    /// Records that a part of the stream from `target` has been relayed, and waits for the next
+    /// event.
+    pub(super) fn record_progress(&self, target: ServerKey) {
+        let stall_timeout = match self.route().kind {
+            Kind::ResumableStream => NEXT_EVENT_TIMEOUT,
+            _ => NO_TIMEOUT,
+        };
+        self.set_wait(Some(target), Wait::Event, stall_timeout);
+    }
+
+    /// Records the latencies of a request whose response is complete.
+    pub(super) fn record_completion(&self, label: &'static str, status: u16) {
+        let now = clock::now();
+        let whole = now.since(self.arrived);
+        let first = self.first_event.map_or(whole, |at| at.since(self.arrived));
+        self.gateway.with(|state| {
+            state.metrics.count("requests", label);
+            state.metrics.latency("first_byte", first);
+            state.metrics.latency("answer", whole);
+            state.metrics.latency("pause", self.event_gap.1);
+        });
+        let text = format!(
+            "{label} {status}, first byte {} ms, longest gap {} ms, total {} ms",
+            first.as_millis(),
+            self.event_gap.1.as_millis(),
+            whole.as_millis()
+        );
+        self.record_event(EventKind::RequestCompleted, &text);
+    }
+
+    /// Records an event about the request, with its route, attempts, target and age.
+    pub(super) fn record_event(&self, kind: EventKind, text: &str) {
+        let now = clock::now();
+        let age = now.since(self.arrived).as_millis();
+        let route = &self.route().name;
+        self.gateway.with(|state| {
+            let proof = state.config_proof.age(now).map_or(0, |age| age.as_millis());
+            let text = format!(
+                "{text}; route {route}, config {} proven {proof} ms ago, attempt {}, \
+                 target load {:.1}, age {age} ms",
+                self.config.version, self.attempts, self.target_load
+            );
+            let event = Body::new(kind)
+                .request(&self.metadata.attempt_id)
+                .instance(&self.last_target)
+                .team(self.team.as_deref().unwrap_or_default())
+                .text(text);
+            state.journal.record(event);
+        });
+    }
+}
--- a/crates/mgw-gateway/src/forward/response.rs
+++ b/crates/mgw-gateway/src/forward/response.rs
@@ -13,7 +13,8 @@
 use crate::clock;
 use crate::connection::Connection;
 use crate::exchange::{Answer, Failure, Outcome};
-use crate::forward::{ActiveRequest, Persistence, Target};
+use crate::forward::target::Target;
+use crate::forward::{ActiveRequest, Persistence};
 use crate::reply::{self, Cause};
 
 impl ActiveRequest<'_> {
--- /dev/null
+++ b/crates/mgw-gateway/src/forward/target.rs
@@ -0,0 +1,113 @@
+//! The choice of a target for an attempt.
+
+use mgw_fleet::balance::{self, Candidate};
+use mgw_fleet::peer_load;
+use mgw_fleet::roster::{Phase, ServerKey};
+use smol_str::SmolStr;
+
+use crate::clock;
+use crate::forward::ActiveRequest;
+use crate::limit;
+use crate::reply::Cause;
+
+/// Maximum requests waiting at a group, beyond those that run in its slots.
+const GROUP_QUEUE_LIMIT: f64 = 3.0;
+
+/// Maximum requests waiting at a plain server, as a multiple of the largest number of slots of any
+/// server of its service.
+const PLAIN_QUEUE_FACTOR: f64 = 2.0;
+
+/// The server chosen for an attempt: a plain server or the head of a group.
+#[derive(Clone, Debug)]
+pub(super) struct Target {
+    pub(super) id: ServerKey,
+    pub(super) name: SmolStr,
+    pub(super) address: std::net::SocketAddr,
+    /// Estimated requests of all entries at the server when it was chosen.
+    pub(super) requests: f64,
+}
+
+impl ActiveRequest<'_> {
+    /// Chooses a target for the next attempt. A suspect is not sent to a target that already has a
+    /// suspect of this entry, so that a crash can be blamed on one request.
+    pub(super) fn choose_target(&self) -> Result<Target, Cause> {
+        let now = clock::now();
+        let gateway = self.gateway;
+        gateway.with(|state| {
+            if state.poison.is_quarantined(&self.shared_parts) {
+                return Err(Cause::Quarantined);
+            }
+            let groups = state.groups();
+            let Some(service) = self.config.services.get(&self.service) else {
+                return Err(Cause::NoTarget);
+            };
+            let has_suspect = |id: ServerKey| {
+                self.suspect
+                    && state
+                        .requests
+                        .at_target(id)
+                        .any(|it| it.is_suspect && it.fingerprint != 0 && it.target == Some(id))
+            };
+            let peer_loads = Some(&state.peer_loads).filter(|peer_loads| !peer_loads.is_empty());
+            let peer_requests =
+                |id: &str| peer_loads.map(|it| it.requests(peer_load::target_hash(id)));
+            let rate_share = limit::share(state);
+            let mut is_limited = false;
+            let mut candidates: Vec<Candidate<'_>> = Vec::new();
+            let mut add = |id: ServerKey, slots: u32| {
+                let Some(server) = state.roster.get(id) else { return };
+                if !server.load.rate.admits(rate_share, now) {
+                    is_limited = true;
+                } else if !has_suspect(id) {
+                    candidates.push(Candidate {
+                        id,
+                        load: &server.load,
+                        requests: server.load.estimated_requests(peer_requests(&server.id), now),
+                        slots,
+                        is_same_zone: server.record.zone == gateway.settings.zone,
+                        is_tried: self.tried.contains(&id),
+                    });
+                }
+            };
+            let max_queued = match &service.engine {
+                Some(engine) => {
+                    let model = self.metadata.model.as_deref();
+                    let wanted =
+                        engine.models.iter().position(|it| Some(it.name.as_str()) == model);
+                    groups
+                        .iter()
+                        .filter(|it| it.is_servable && it.service == self.service)
+                        .filter(|it| wanted.is_none_or(|wanted| wanted == it.model))
+                        .for_each(|it| add(it.head, engine.slots));
+                    GROUP_QUEUE_LIMIT
+                }
+                None => {
+                    let ready = state.roster.iter().filter(|(_, it)| {
+                        it.record.service == self.service && it.record.phase == Phase::Ready
+                    });
+                    let mut slots = 0;
+                    for (id, server) in ready {
+                        slots = slots.max(server.record.slots);
+                        add(id, server.record.slots);
+                    }
+                    f64::from(slots) * PLAIN_QUEUE_FACTOR
+                }
+            };
+            let options = balance::Options { max_queued, ..balance::Options::default() };
+            let chosen = balance::choose(&candidates, &options, now, &mut state.rng);
+            let id = chosen.map_err(|error| match error {
+                balance::Error::NoTarget if is_limited => Cause::Full,
+                balance::Error::NoTarget => Cause::NoTarget,
+                balance::Error::Full => Cause::Full,
+            })?;
+            let requests = candidates.iter().find(|it| it.id == id).map(|it| it.requests);
+            let server = state.roster.get(id).ok_or(Cause::NoTarget)?;
+            Ok(Target {
+                id,
+                name: server.id.clone(),
+                address: server.record.address,
+                requests: requests.unwrap_or_default(),
+            })
+        })
+    }
+}
