Do not take an empty stream without a length for complete

A stream without events reached the caller as a complete answer if its server sent the head of an answer with neither a length nor chunks and then lost the connection.

Cause: such a body ends with its connection, and only an incomplete event at the end showed that it was broken off. A stream that ends before its first event now counts as broken off, too, and is resumed elsewhere.

Before: streams_that_end_with_their_connection_are_complete_or_resumed failed with an empty 200 for the third of its cases; the other two, a complete stream and one that ends inside an event, passed already.

--- a/crates/mgw-gateway/src/forward/response.rs
+++ b/crates/mgw-gateway/src/forward/response.rs
@@ -35,8 +35,9 @@
             decoder.decode(&mut connection.input, &mut body).map_err(|_| Failure::Malformed)?;
             let mut events = BytesMut::new();
             self.splitter.push(&mut body, &mut events);
-            if decoder.is_done() && response.framing == Framing::Close && self.splitter.is_partial()
-            {
+            let is_empty = events.is_empty() && self.writing_since.is_none();
+            let is_broken_off = self.splitter.is_partial() || is_empty;
+            if decoder.is_done() && response.framing == Framing::Close && is_broken_off {
                 return Err(Failure::ConnectionLost);
             }
             if decoder.is_done() {
