Judge prompt parts only on new evidence

Peers repeat their evidence for 1.2 s, and each repeat weighed all parts again, with the square of their number: after a crash of many servers some hundred thousand comparisons in a second. Repeats change nothing, so they are skipped. What peers had sent under an earlier limit of a server is forgotten when a new one begins, so the table does not grow with restarts of entries.

--- a/crates/mgw-fleet/src/rate.rs
+++ b/crates/mgw-fleet/src/rate.rs
@@ -40,7 +40,7 @@
     refilled_at: Instant,
     /// Requests that this entry has sent to the server so far; wraps around.
     sent: u32,
-    /// The same of each other entry, by incarnation, as last reported.
+    /// The same of each other entry, by incarnation, as last reported since the limit began.
     peers_sent: Map<u64, u32>,
 }
 
@@ -56,6 +56,7 @@
         if known.is_none() {
             self.tokens = 0.0;
             self.refilled_at = now;
+            self.peers_sent = Map::default();
         }
         self.statement = Some(statement);
         self.rate() != known
--- a/crates/mgw-route/src/poison.rs
+++ b/crates/mgw-route/src/poison.rs
@@ -176,7 +176,7 @@
 
     /// Adds evidence of a peer. With `is_conclusive`, the peer has quarantined the part.
     pub fn merge(&mut self, evidence: Evidence, is_conclusive: bool, now: Instant) {
-        self.insert(evidence, false, now);
+        let is_new = self.insert(evidence, false, now);
         let record = self.records.get_mut(&evidence.part);
         if let Some(record) = record.filter(|record| is_conclusive && record.holds(&evidence))
             && record.quarantined_at.is_none()
@@ -184,11 +184,14 @@
             record.quarantined_at = Some(now);
             self.changes.push(Change { part: evidence.part, is_quarantined: true });
         }
-        self.judge(now);
+        // Peers repeat what they have said many times.
+        if is_new {
+            self.judge(now);
+        }
     }
 
-    /// Stores evidence unless it is known.
-    fn insert(&mut self, evidence: Evidence, is_own: bool, now: Instant) {
+    /// Stores evidence and returns true unless it is known.
+    fn insert(&mut self, evidence: Evidence, is_own: bool, now: Instant) -> bool {
         let is_served = self.served.get(&evidence.part).is_some();
         if self.records.get(&evidence.part).is_none()
             && self.records.len() >= self.options.max_parts
@@ -198,7 +201,7 @@
         let record = self.records.get_or_insert_with(evidence.part, Record::default);
         let key = |it: &Evidence| (it.request, it.server);
         if record.crashes.iter().any(|crash| key(&crash.evidence) == key(&evidence)) {
-            return;
+            return false;
         }
         if record.crashes.len() >= MAX_EVIDENCE {
             record.crashes.remove(0);
@@ -207,6 +210,7 @@
         if is_served {
             record.announced_until = Some(now + REPEAT_TIME);
         }
+        true
     }
 
     /// Removes the part whose last crash is the oldest, but no quarantined one.
