Add a failing test: a request is not told of its deadline after a stall

Callers: no answer and no refusal until they leave. A request that writes to its caller consumes the notification of a stall without taking the alarm; as an alarm is pending, no other one is raised, also not that of the deadline.

--- a/crates/mgw-gateway/tests/in_flight.rs
+++ b/crates/mgw-gateway/tests/in_flight.rs
@@ -1,6 +1,8 @@
 //! Tests of the table of requests in flight: deadlines, stalls and pauses of the process.
 
+use std::pin::pin;
 use std::rc::Rc;
+use std::task::{Context, Waker};
 use std::time::Duration;
 
 use mgw_base::time::Instant;
@@ -43,6 +45,11 @@
     }
 }
 
+/// Consumes a notification; returns whether there was one.
+fn is_notified(wake: &Notify) -> bool {
+    pin!(wake.notified()).poll(&mut Context::from_waker(Waker::noop())).is_ready()
+}
+
 /// Ticks every 50 ms from `from` to `until`; returns the stalled targets of the last tick.
 fn run(table: &mut Table, from: u64, until: u64) -> Vec<ServerKey> {
     let mut stalled = Vec::new();
@@ -108,3 +115,21 @@
     run(&mut table, 1_000, 1_500);
     assert_eq!(table.get_mut(key).and_then(|request| request.alarm), Some(Alarm::Deadline));
 }
+
+/// Guards against a request that is never told of its deadline, because it has not taken the alarm of
+/// an earlier stall.
+#[test]
+fn a_pending_stall_alarm_does_not_hide_the_deadline() {
+    let [target, _] = targets();
+    let mut table = Table::default();
+    let waiting = Request { deadline: at(2_000), ..request(target, Wait::Event, 0) };
+    let wake = Rc::clone(&waiting.wake);
+    let key = table.insert(waiting);
+    run(&mut table, 0, 1_000);
+    assert_eq!(table.get_mut(key).map(|it| it.alarm), Some(Some(Alarm::Stalled)));
+    // The notification is consumed, but the alarm is not taken.
+    assert!(is_notified(&wake));
+    run(&mut table, 1_050, 2_000);
+    assert_eq!(table.get_mut(key).map(|it| it.alarm), Some(Some(Alarm::Deadline)));
+    assert!(is_notified(&wake), "the request is not woken at its deadline");
+}
