Tell requests of their deadline after a stall

Callers: a request that met a stall while it was writing to its caller waited for its server until the caller left, beyond its deadline, with neither an answer nor a refusal. Cause: the notification of a stall was consumed by the write, which only looks for the deadline, and the alarm stayed pending; the table raises no second alarm. Class of fault: a one-time notification is consumed by a waiter that it is not for. Now the deadline replaces a pending stall, and the next progress or target ends one, so that a request is also not moved for a stall that is over.

--- a/crates/mgw-gateway/src/forward/record.rs
+++ b/crates/mgw-gateway/src/forward/record.rs
@@ -63,10 +63,7 @@
         let now = clock::now();
         self.gateway.with(|state| {
             let Some(in_flight) = state.requests.get_mut(self.request_key) else { return };
-            in_flight.target = target;
-            in_flight.wait = wait;
-            in_flight.stall_timeout = stall_timeout;
-            in_flight.last_progress = now;
+            in_flight.set_wait(target, wait, stall_timeout, now);
         });
     }
 
--- a/crates/mgw-gateway/src/in_flight.rs
+++ b/crates/mgw-gateway/src/in_flight.rs
@@ -44,7 +44,8 @@
     /// Time without progress after which it is woken with [`Alarm::Stalled`] even if other requests
     /// at its target make progress.
     pub stall_timeout: Duration,
-    /// An alarm that has been raised and not been taken yet.
+    /// An alarm that has been raised and not been taken yet. A stall may be followed by the
+    /// deadline, and ends with the next progress.
     pub alarm: Option<Alarm>,
     /// Notified when an alarm is raised.
     pub wake: Rc<Notify>,
@@ -54,6 +55,24 @@
     pub is_suspect: bool,
 }
 
+impl Request {
+    /// Records at `now` that the request waits for `wait` at `target` from now on, for at most
+    /// `stall_timeout`. A stall before that is over.
+    pub fn set_wait(
+        &mut self,
+        target: Option<ServerKey>,
+        wait: Wait,
+        stall_timeout: Duration,
+        now: Instant,
+    ) {
+        self.target = target;
+        self.wait = wait;
+        self.stall_timeout = stall_timeout;
+        self.last_progress = now;
+        self.alarm = self.alarm.filter(|alarm| *alarm == Alarm::Deadline);
+    }
+}
+
 /// Key of a request in the table.
 pub type RequestKey = Key<Request>;
 
@@ -131,7 +150,11 @@
                 }
                 _ => continue,
             };
-            if request.alarm.is_none() {
+            let is_new = match (request.alarm, alarm) {
+                (None, _) | (Some(Alarm::Stalled), Alarm::Deadline) => true,
+                (Some(_), _) => false,
+            };
+            if is_new {
                 request.alarm = Some(alarm);
                 request.wake.notify_one();
             }
--- a/crates/mgw-gateway/tests/in_flight.rs
+++ b/crates/mgw-gateway/tests/in_flight.rs
@@ -133,3 +133,16 @@
     assert_eq!(table.get_mut(key).map(|it| it.alarm), Some(Some(Alarm::Deadline)));
     assert!(is_notified(&wake), "the request is not woken at its deadline");
 }
+
+/// Guards against a request that leaves its target although it has made progress since the stall.
+#[test]
+fn progress_ends_a_pending_stall_alarm() {
+    let [target, _] = targets();
+    let mut table = Table::default();
+    let key = table.insert(request(target, Wait::Event, 0));
+    run(&mut table, 0, 1_000);
+    let waiting = table.get_mut(key).expect("in flight");
+    assert_eq!(waiting.alarm, Some(Alarm::Stalled));
+    waiting.set_wait(Some(target), Wait::Event, Duration::from_secs(10), at(1_000));
+    assert_eq!(waiting.alarm, None);
+}
