Keep the exchange with a silent server until another one answers

Callers: beside a change of the configuration, a stream was cut, or a request got 500, 502 or 504, although its server was sound, only silent for a moment, and went on.

Cause: once a target has stalled, a request that may be repeated closed its connection there before another server had answered. If that one refused it, failed, was silent too or could not be reached, nothing was left. Class of fault: the only copy of work is given up before its replacement is certain.

Now an exchange with a stalled server is suspended instead of ended. Whichever server sends something first is followed; the suspended exchange ends once the caller has got something from the other one. If no server is left, the request returns to the stalled one: a begun stream until its deadline, any other request for 1.5 s, so that it is not held by a dead one. An incomplete event and the progress are kept with the exchange, so no event is lost or sent twice.

--- a/crates/mgw-event/src/kind.rs
+++ b/crates/mgw-event/src/kind.rs
@@ -178,6 +178,7 @@
     RequestBroken = 506 "request_broken" Warn [Request Group Instance Team Text] "A request ended with an error after dispatch.";
     AnswerDiscarded = 507 "answer_discarded" Warn [Request Group Instance Text] "A response names another request and was discarded.";
     RetryBudgetSpent = 508 "retry_budget_spent" Info [Request Team] "A request was not retried because the retry budget is exhausted.";
+    RequestReturned = 509 "request_returned" Info [Request Instance Team Text] "A request waits again for a server that had stalled: it goes on, or no other server is left.";
 
     BookingAccepted = 601 "booking_accepted" Debug [Request Entry Team Text] "A non-idempotent call was accepted by its executor.";
     BookingDispatched = 602 "booking_dispatched" Debug [Request Instance Team] "A non-idempotent call is about to be written to a server.";
--- a/crates/mgw-gateway/src/connection.rs
+++ b/crates/mgw-gateway/src/connection.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::task::{Context, Poll};
 use std::time::Duration;
 
 use bytes::BytesMut;
@@ -69,6 +70,22 @@
         self.stream.read_buf(&mut self.input).await
     }
 
+    /// Polls for input, the end of the stream or an error, without reading it.
+    pub fn poll_readable(&self, context: &mut Context<'_>) -> Poll<()> {
+        self.stream.poll_read_ready(context).map(|_| ())
+    }
+
+    /// Appends input that has arrived to `input`, without waiting, and returns the number of bytes;
+    /// 0 at the end of the stream.
+    ///
+    /// # Errors
+    ///
+    /// The connection failed, or [`io::ErrorKind::WouldBlock`] if no input has arrived.
+    pub fn try_read(&mut self) -> io::Result<usize> {
+        self.input.reserve(READ_BYTES);
+        self.stream.try_read_buf(&mut self.input)
+    }
+
     /// Writes all of `bytes`.
     ///
     /// # Errors
@@ -171,8 +188,7 @@
                         ready = self.stream.writable() => ready?,
                         ready = self.stream.readable() => {
                             ready?;
-                            self.input.reserve(READ_BYTES);
-                            match self.stream.try_read_buf(&mut self.input) {
+                            match self.try_read() {
                                 Ok(_) => return Ok(false),
                                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
                                 Err(error) => return Err(error),
--- a/crates/mgw-gateway/src/exchange.rs
+++ b/crates/mgw-gateway/src/exchange.rs
@@ -29,6 +29,8 @@
     },
     /// The target makes no progress, and the request may be sent to another one.
     Stalled,
+    /// An earlier target that had stalled goes on.
+    Superseded,
     /// The deadline of the request passed.
     Deadline,
     /// The caller closed its connection.
@@ -56,6 +58,7 @@
             Failure::Malformed => formatter.write_str("malformed response"),
             Failure::NotResumed { status } => write!(formatter, "not resumed, status {status}"),
             Failure::Stalled => formatter.write_str("target stalled"),
+            Failure::Superseded => formatter.write_str("an earlier target goes on"),
             Failure::Deadline => formatter.write_str("deadline exceeded"),
             Failure::CallerGone => formatter.write_str("caller disconnected"),
         }
--- a/crates/mgw-gateway/src/forward.rs
+++ b/crates/mgw-gateway/src/forward.rs
@@ -3,6 +3,7 @@
 
 mod admit;
 mod attempt;
+mod exchange;
 mod record;
 mod response;
 mod target;
@@ -28,6 +29,8 @@
 use crate::clock;
 use crate::connection::Connection;
 use crate::exchange::{Answer, Failure, Outcome};
+use crate::forward::exchange::{Exchange, Progress};
+use crate::forward::target::Target;
 use crate::gateway::Gateway;
 use crate::in_flight::{Alarm, RequestKey};
 use crate::reply::{self, Cause};
@@ -58,6 +61,23 @@
     Close,
 }
 
+/// What a request that is not answered yet does next.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Next {
+    /// It is sent to a target.
+    Target,
+    /// It waits for a server that had stalled.
+    Suspended,
+}
+
+/// What an attempt is made at.
+enum Source {
+    /// A server that gets the request.
+    Target(Target),
+    /// A server that has the request.
+    Suspended(Box<Exchange>),
+}
+
 /// An admitted request with the state of its attempts and its response.
 struct ActiveRequest<'a> {
     gateway: &'a Rc<Gateway>,
@@ -102,10 +122,14 @@
     is_last: bool,
     /// When the first event or the whole response was passed on.
     first_event: Option<Instant>,
-    /// When the server of the present attempt sent its first event; `None` before.
-    writing_since: Option<Instant>,
-    /// Whether that server has answered for long enough to clear the parts of the prompt.
-    has_settled: bool,
+    /// Progress of the server of the present attempt.
+    progress: Progress,
+    /// Exchanges with servers that have stalled, while another one is tried. They end with the first
+    /// answer that is passed on.
+    suspended: Vec<Exchange>,
+    /// Until when the server of the present attempt, which had stalled, is waited for; `None` if
+    /// there is no such limit.
+    given_up_at: Option<Instant>,
     /// When events were last passed on, and the longest time between two such times.
     event_gap: (Option<Instant>, Duration),
     /// Fingerprint by which crashes are blamed on it.
@@ -114,10 +138,8 @@
     suspect: bool,
     /// Parts of its prompt that other requests may share.
     shared_parts: Vec<Part>,
-    /// Name of the server of the latest attempt; empty before the first.
-    last_target: SmolStr,
-    /// Estimated requests at that server when it was chosen.
-    target_load: f64,
+    /// The server of the present or latest attempt; `None` before the first.
+    target: Option<Target>,
     /// An error response of a server, kept for the caller in case no retry succeeds.
     fallback: Option<Answer>,
 }
@@ -176,16 +198,22 @@
 
     /// Makes attempts until one succeeds or no other one is allowed, and sends the response.
     async fn run(&mut self, caller: &mut Connection) -> Persistence {
+        let persistence = self.run_attempts(caller).await;
+        self.end_suspended();
+        persistence
+    }
+
+    async fn run_attempts(&mut self, caller: &mut Connection) -> Persistence {
+        let mut next = Next::Target;
         loop {
-            let target = match self.choose_target() {
-                Ok(target) => target,
+            let result = match self.take_next(next) {
+                Ok(Source::Target(target)) => self.attempt(caller, target).await,
+                Ok(Source::Suspended(exchange)) => self.return_to(caller, *exchange).await,
                 // Most causes of a missing target would state that the request has not run.
                 Err(_) if self.may_have_run => return self.fail(caller, Cause::ServerFailed).await,
                 Err(cause) => return self.fail(caller, cause).await,
             };
-            self.last_target = target.name.clone();
-            self.target_load = target.requests;
-            match self.attempt(caller, &target).await {
+            next = match result {
                 Ok(Outcome::Streamed) => {
                     self.record_completion("streamed", 200);
                     return self.persistence();
@@ -195,11 +223,11 @@
                         && answer.head.status != 504
                         && self.route().kind == Kind::Idempotent;
                     self.may_have_run = true;
-                    if is_worth_retry && self.prepare_retry(Failure::ConnectionLost) {
-                        self.fallback = Some(answer);
-                        continue;
-                    }
-                    return self.send_answer(caller, answer).await;
+                    let retry =
+                        is_worth_retry.then(|| self.next_after(Failure::ConnectionLost)).flatten();
+                    let Some(retry) = retry else { return self.send_answer(caller, answer).await };
+                    self.fallback = Some(answer);
+                    retry
                 }
                 Err(Failure::CallerGone) => {
                     self.record_event(EventKind::RequestBroken, "caller disconnected");
@@ -207,19 +235,45 @@
                     return Persistence::Close;
                 }
                 Err(failure) => {
-                    self.record_failure(&target, failure);
-                    if !self.prepare_retry(failure) {
-                        let cause = self.failure_cause(failure);
-                        return self.fail(caller, cause).await;
+                    self.record_failure(failure);
+                    match self.next_after(failure) {
+                        Some(next) => {
+                            self.record_retry(next, failure);
+                            next
+                        }
+                        None => {
+                            let cause = self.failure_cause(failure);
+                            return self.fail(caller, cause).await;
+                        }
                     }
-                    let text = format!("{failure} at {}", target.name);
-                    let kind = match self.is_started {
-                        true => EventKind::RequestResumed,
-                        false => EventKind::RequestRetried,
-                    };
-                    self.record_event(kind, &text);
                 }
-            }
+            };
+        }
+    }
+
+    /// Takes what the next attempt is made at. A server that had stalled is waited for if there is no
+    /// other target.
+    fn take_next(&mut self, next: Next) -> Result<Source, Cause> {
+        let target = match next {
+            Next::Target => self.choose_target(),
+            Next::Suspended => Err(Cause::NoTarget),
+        };
+        match target {
+            Ok(target) => Ok(Source::Target(target)),
+            Err(cause) => match self.take_suspended() {
+                Some(exchange) => Ok(Source::Suspended(Box::new(exchange))),
+                None => Err(cause),
+            },
+        }
+    }
+
+    /// What to do after `failure`; `None` if the request has failed.
+    fn next_after(&mut self, failure: Failure) -> Option<Next> {
+        match failure {
+            Failure::Superseded => Some(Next::Suspended),
+            _ if self.prepare_retry(failure) => Some(Next::Target),
+            _ if failure.is_server_failure() && !self.suspended.is_empty() => Some(Next::Suspended),
+            _ => None,
         }
     }
 
@@ -278,7 +332,8 @@
         drawn.is_ok()
     }
 
-    /// Waits for `work`. Fails if the caller disconnects first, or if an alarm means a failure.
+    /// Waits for `work`. Fails if the caller disconnects first, if a server that had stalled goes on,
+    /// or if an alarm means a failure.
     async fn wait<T, F>(&mut self, caller: &mut Connection, work: F) -> Result<T, Failure>
     where
         F: Future<Output = T>,
@@ -291,6 +346,11 @@
                 // Comes first, as a server that sends without a pause always has a result.
                 () = caller.closed() => return Err(Failure::CallerGone),
                 result = &mut work => return Ok(result),
+                index = exchange::readable(&self.suspended) => {
+                    if self.goes_on(index) {
+                        return Err(Failure::Superseded);
+                    }
+                }
                 () = wake.notified() => {
                     if let Some(failure) = self.take_failure() {
                         return Err(failure);
@@ -319,7 +379,8 @@
                     && self.choose_target().is_ok()
                     && self.draw_retry(now);
                 self.has_retry_permit = may_move;
-                may_move.then_some(Failure::Stalled)
+                let is_given_up = self.given_up_at.is_some_and(|at| now >= at);
+                (may_move || is_given_up).then_some(Failure::Stalled)
             }
         }
     }
--- a/crates/mgw-gateway/src/forward/admit.rs
+++ b/crates/mgw-gateway/src/forward/admit.rs
@@ -15,6 +15,7 @@
 use smol_str::SmolStr;
 use tokio::sync::Notify;
 
+use crate::forward::exchange::Progress;
 use crate::forward::{ActiveRequest, NO_TIMEOUT};
 use crate::gateway::{Gateway, State};
 use crate::in_flight::{self, Wait};
@@ -121,14 +122,14 @@
         is_started: false,
         is_last,
         first_event: None,
-        writing_since: None,
-        has_settled: false,
+        progress: Progress::default(),
+        suspended: Vec::new(),
+        given_up_at: None,
         event_gap: (None, Duration::ZERO),
         fingerprint,
         suspect,
         shared_parts,
-        last_target: SmolStr::default(),
-        target_load: 0.0,
+        target: None,
         fallback: None,
     })
 }
--- a/crates/mgw-gateway/src/forward/attempt.rs
+++ b/crates/mgw-gateway/src/forward/attempt.rs
@@ -7,6 +7,7 @@
 use mgw_base::time::Instant;
 use mgw_event::Kind as EventKind;
 use mgw_fleet::config::Kind;
+use mgw_fleet::roster::ServerKey;
 use mgw_http::body::{Decoder, Framing};
 use mgw_http::head::{self, Response};
 use platform::header;
@@ -14,11 +15,11 @@
 use crate::clock;
 use crate::connection::Connection;
 use crate::exchange::{Answer, Failure, Outcome};
+use crate::forward::exchange::{Exchange, Progress, Reuse, Stage};
 use crate::forward::target::Target;
 use crate::forward::{ActiveRequest, MIN_ATTEMPT_TIME, NO_TIMEOUT};
 use crate::in_flight::Wait;
 use crate::limit;
-use crate::pool;
 
 /// Timeout of a connection to a server.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(450);
@@ -48,12 +49,16 @@
 /// Time without the first event after which a resumable stream may move to another group.
 const FIRST_EVENT_TIMEOUT: Duration = Duration::from_millis(1_300);
 
+/// Time after a stall for which a server that has not begun to answer is waited for once no other
+/// server is left. A sound server may be silent for a second or so.
+const SILENCE_TIMEOUT: Duration = Duration::from_millis(1_500);
+
 impl ActiveRequest<'_> {
     /// Makes an attempt at `target`, which is counted in the target's requests in flight meanwhile.
     pub(super) async fn attempt(
         &mut self,
         caller: &mut Connection,
-        target: &Target,
+        target: Target,
     ) -> Result<Outcome, Failure> {
         self.gateway.with(|state| {
             limit::record_sent(state, target.id);
@@ -62,50 +67,93 @@
             }
         });
         self.tried.push(target.id);
+        self.target = Some(target.clone());
         self.has_begun_sending = false;
-        self.writing_since = None;
-        self.has_settled = false;
-        let result = self.exchange(caller, target).await;
-        self.set_wait(None, Wait::Nothing, NO_TIMEOUT);
-        self.gateway.with(|state| {
-            if let Some(load) = state.roster.load_mut(target.id) {
-                load.in_flight = load.in_flight.saturating_sub(1);
+        self.progress = Progress::default();
+        self.given_up_at = None;
+        match self.open(caller, &target).await {
+            Ok(exchange) => self.follow(caller, exchange).await,
+            Err(failure) => {
+                self.set_wait(None, Wait::Nothing, NO_TIMEOUT);
+                self.leave_target(target.id);
+                Err(failure)
             }
-        });
-        result
+        }
     }
 
-    /// Connects, sends the request, and reads or relays the response. Reports the result to the
-    /// load of the target.
-    pub(super) async fn exchange(
+    /// Connects to `target` and sends the request.
+    async fn open(
         &mut self,
         caller: &mut Connection,
         target: &Target,
-    ) -> Result<Outcome, Failure> {
+    ) -> Result<Exchange, Failure> {
         let mut connection = self.connect(caller, target).await?;
         self.attempts += 1;
         let now = clock::now();
-        let is_first = self.attempts == 1;
-        self.gateway.with(|state| {
-            if is_first {
-                state.retry_budgets.count_request(&self.service, now);
-            }
-        });
-        let stall_timeout = match self.route().kind {
+        if self.attempts == 1 {
+            self.gateway.with(|state| state.retry_budgets.count_request(&self.service, now));
+        }
+        self.set_wait(Some(target.id), Wait::Response, self.response_timeout());
+        let output = self.encode_request(target, now);
+        let is_fully_sent = self.send_request(caller, &mut connection, &output).await?;
+        Ok(Exchange::new(target.clone(), connection, is_fully_sent))
+    }
+
+    /// Time without the head of a response after which the request may move to another server.
+    fn response_timeout(&self) -> Duration {
+        match self.route().kind {
             Kind::AtMostOnce | Kind::Stream => NO_TIMEOUT,
             Kind::Idempotent => {
                 (self.route().latency_target * LATENCY_TARGETS_PER_ATTEMPT).max(MIN_ATTEMPT_TIME)
             }
             Kind::ResumableStream => FIRST_EVENT_TIMEOUT,
-        };
-        self.set_wait(Some(target.id), Wait::Response, stall_timeout);
-        let output = self.encode_request(target, now);
-        let is_fully_sent = self.send_request(caller, &mut connection, &output).await?;
-        let (response, response_metadata) = self.read_head(caller, &mut connection).await?;
+        }
+    }
+
+    /// Reads or relays the rest of the response. If the server has stalled, the exchange is kept, as
+    /// the server may go on before another one answers.
+    pub(super) async fn follow(
+        &mut self,
+        caller: &mut Connection,
+        mut exchange: Exchange,
+    ) -> Result<Outcome, Failure> {
+        let result = self.receive(caller, &mut exchange).await;
+        self.set_wait(None, Wait::Nothing, NO_TIMEOUT);
+        match result {
+            Err(Failure::Stalled) => self.suspend(exchange),
+            _ => self.end(exchange),
+        }
+        result
+    }
+
+    /// Reads the head of the response, unless it has been read, and then its body.
+    async fn receive(
+        &mut self,
+        caller: &mut Connection,
+        exchange: &mut Exchange,
+    ) -> Result<Outcome, Failure> {
+        if matches!(exchange.stage, Stage::Head) {
+            self.receive_head(caller, exchange).await?;
+        }
+        match exchange.stage {
+            Stage::Head | Stage::Body { .. } => self.read_body(caller, exchange).await,
+            Stage::Stream { .. } => self.relay_stream(caller, exchange).await,
+        }
+    }
+
+    /// Reads the head of the response and reports the result to the load of the target.
+    async fn receive_head(
+        &mut self,
+        caller: &mut Connection,
+        exchange: &mut Exchange,
+    ) -> Result<(), Failure> {
+        let target = exchange.target.id;
+        let (response, response_metadata) =
+            self.read_head(caller, &mut exchange.connection).await?;
         self.gateway.with(|state| {
             let now = clock::now();
-            limit::record(state, target.id, &response, &response_metadata);
-            let Some(load) = state.roster.load_mut(target.id) else { return };
+            limit::record(state, target, &response, &response_metadata);
+            let Some(load) = state.roster.load_mut(target) else { return };
             load.clear_avoidance();
             if let Some(requests) = response_metadata.outstanding_requests {
                 load.record_report(requests, now);
@@ -114,15 +162,29 @@
             load.record_result(is_failure, now);
         });
         if response_metadata.is_not_executed {
-            let status = response.status;
-            self.drain_refusal(connection, target, &response, is_fully_sent).await;
-            return Err(Failure::NotRun { status });
-        }
-        match response.is_success() && self.route().kind.is_stream() {
-            true => self.relay_stream(caller, connection, target, response, is_fully_sent).await,
-            false if self.is_started => Err(Failure::NotResumed { status: response.status }),
-            false => self.read_body(caller, connection, target, response, is_fully_sent).await,
+            drain_refusal(exchange, &response);
+            return Err(Failure::NotRun { status: response.status });
         }
+        let body = BytesMut::new();
+        exchange.stage = match response.is_success() && self.route().kind.is_stream() {
+            true => {
+                let decoder = Decoder::new(response.framing);
+                Stage::Stream { response, decoder, body }
+            }
+            false if self.is_started => {
+                return Err(Failure::NotResumed { status: response.status });
+            }
+            false => {
+                let framing = match self.request.method() {
+                    "HEAD" => Framing::Length(0),
+                    _ => response.framing,
+                };
+                let decoder = Decoder::new(framing);
+                let reservation = self.gateway.response_bodies.reserve();
+                Stage::Body { response, decoder, body, reservation }
+            }
+        };
+        Ok(())
     }
 
     /// Takes an idle connection to `target` from the pool or opens a new one.
@@ -261,23 +323,17 @@
     }
 
     /// Reads the whole body of a response that is not a stream.
-    pub(super) async fn read_body(
+    async fn read_body(
         &mut self,
         caller: &mut Connection,
-        mut connection: Connection,
-        target: &Target,
-        response: Response,
-        is_fully_sent: bool,
+        exchange: &mut Exchange,
     ) -> Result<Outcome, Failure> {
-        let framing = match self.request.method() {
-            "HEAD" => Framing::Length(0),
-            _ => response.framing,
-        };
-        let mut decoder = Decoder::new(framing);
-        let mut body = BytesMut::new();
-        let mut reservation = self.gateway.response_bodies.reserve();
         loop {
-            decoder.decode(&mut connection.input, &mut body).map_err(|_| Failure::Malformed)?;
+            let connection = &mut exchange.connection;
+            let Stage::Body { decoder, body, reservation, .. } = &mut exchange.stage else {
+                return Err(Failure::Malformed);
+            };
+            decoder.decode(&mut connection.input, body).map_err(|_| Failure::Malformed)?;
             match body.len() {
                 size if size > MAX_BODY_BYTES => return Err(Failure::Malformed),
                 size if size > MAX_SMALL_BODY_BYTES => {
@@ -288,49 +344,125 @@
             if decoder.is_done() {
                 break;
             }
-            match self.read_from(caller, &mut connection).await? {
+            match self.read_from(caller, connection).await? {
                 Ok(0) => decoder.finish().map_err(|_| Failure::ConnectionLost)?,
                 Ok(_) => {}
                 Err(_) => return Err(Failure::ConnectionLost),
             }
         }
-        if response.is_success() {
-            self.record_answering(true);
+        match std::mem::replace(&mut exchange.stage, Stage::Head) {
+            Stage::Body { response, body, reservation, .. } => {
+                if response.is_success() {
+                    self.record_answering(true);
+                }
+                exchange.finish(&response);
+                Ok(Outcome::Answer(Answer { head: response, body, reservation }))
+            }
+            Stage::Head | Stage::Stream { .. } => Err(Failure::Malformed),
         }
-        self.pool_connection(connection, target, &response, is_fully_sent);
-        Ok(Outcome::Answer(Answer { head: response, body, reservation }))
     }
 
-    /// Returns the connection of a finished exchange to the pool, if it can be reused.
-    pub(super) fn pool_connection(
-        &self,
-        connection: Connection,
-        target: &Target,
-        response: &Response,
-        is_fully_sent: bool,
-    ) {
-        let is_reusable = is_fully_sent && response.keeps_alive() && connection.input.is_empty();
-        if is_reusable {
-            let timeout = pool::keep_alive_timeout(response);
-            let now = clock::now();
-            self.gateway.with(|state| state.pool.put(target.id, connection, timeout, now));
+    /// Keeps an exchange with a server that has stalled, while another server is tried.
+    fn suspend(&mut self, mut exchange: Exchange) {
+        let given_up_at = clock::now() + SILENCE_TIMEOUT;
+        exchange.given_up_at = exchange.given_up_at.or(Some(given_up_at));
+        exchange.progress = self.progress;
+        exchange.partial = self.splitter.take_partial();
+        self.suspended.push(exchange);
+    }
+
+    /// Takes the newest suspended exchange that is worth waiting for: with a server that has sent
+    /// something, or that has not been silent for too long. A stream that has begun has no other
+    /// way to be completed.
+    pub(super) fn take_suspended(&mut self) -> Option<Exchange> {
+        let now = clock::now();
+        while let Some(exchange) = self.suspended.pop() {
+            let is_given_up = exchange.given_up_at.is_some_and(|at| now >= at);
+            if self.is_started || !is_given_up || !exchange.connection.input.is_empty() {
+                return Some(exchange);
+            }
+            self.end(exchange);
         }
+        None
     }
 
-    /// Reads the body of a refusal as far as it has arrived. If it is complete, the connection is
-    /// returned to the pool.
-    pub(super) async fn drain_refusal(
-        &self,
-        mut connection: Connection,
-        target: &Target,
-        response: &Response,
-        is_fully_sent: bool,
-    ) {
-        let mut decoder = Decoder::new(response.framing);
-        let mut dropped = BytesMut::new();
-        let decoded = decoder.decode(&mut connection.input, &mut dropped);
-        if decoded.is_ok() && decoder.is_done() {
-            self.pool_connection(connection, target, response, is_fully_sent);
+    /// Waits again for the response of a server that had stalled.
+    pub(super) async fn return_to(
+        &mut self,
+        caller: &mut Connection,
+        mut exchange: Exchange,
+    ) -> Result<Outcome, Failure> {
+        let now = clock::now();
+        self.target = Some(exchange.target.clone());
+        self.has_begun_sending = true;
+        self.progress = exchange.progress;
+        self.splitter.restore_partial(std::mem::take(&mut exchange.partial));
+        self.given_up_at = exchange.given_up_at.filter(|_| !self.is_started);
+        self.record_event(EventKind::RequestReturned, "waits again for a server that had stalled");
+        match (self.progress.writing_since, self.given_up_at) {
+            (Some(_), _) => self.record_progress(exchange.target.id),
+            (None, Some(at)) => {
+                self.set_wait(Some(exchange.target.id), Wait::Response, at.since(now));
+            }
+            (None, None) => {
+                self.set_wait(Some(exchange.target.id), Wait::Response, self.response_timeout());
+            }
         }
+        self.follow(caller, exchange).await
+    }
+
+    /// Ends the exchanges with servers that had stalled, as another one has answered.
+    pub(super) fn end_suspended(&mut self) {
+        for exchange in std::mem::take(&mut self.suspended) {
+            self.end(exchange);
+        }
+    }
+
+    /// Whether the server of the suspended exchange at `index` has sent something. If so, it becomes
+    /// the newest one; if its connection has ended, it is removed.
+    pub(super) fn goes_on(&mut self, index: usize) -> bool {
+        match self.suspended[index].connection.try_read() {
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => false,
+            Ok(0) | Err(_) => {
+                let exchange = self.suspended.remove(index);
+                self.end(exchange);
+                false
+            }
+            Ok(_) => {
+                let newest = self.suspended.len() - 1;
+                self.suspended.swap(index, newest);
+                true
+            }
+        }
+    }
+
+    /// Ends an exchange. Its connection is returned to the pool if it can be reused.
+    fn end(&self, exchange: Exchange) {
+        let id = exchange.target.id;
+        if let Reuse::Idle { timeout } = exchange.reuse {
+            let now = clock::now();
+            self.gateway.with(|state| state.pool.put(id, exchange.connection, timeout, now));
+        }
+        self.leave_target(id);
+    }
+
+    /// Counts the request as no longer in flight at a target.
+    fn leave_target(&self, id: ServerKey) {
+        self.gateway.with(|state| {
+            if let Some(load) = state.roster.load_mut(id) {
+                load.in_flight = load.in_flight.saturating_sub(1);
+            }
+        });
+    }
+}
+
+/// Reads the body of a refusal as far as it has arrived. If it is complete, the connection can be
+/// reused.
+fn drain_refusal(exchange: &mut Exchange, response: &Response) {
+    let mut decoder = Decoder::new(response.framing);
+    let mut dropped = BytesMut::new();
+    let decoded = decoder.decode(&mut exchange.connection.input, &mut dropped);
+    if decoded.is_ok() && decoder.is_done() {
+        exchange.finish(response);
     }
 }
--- /dev/null
+++ b/crates/mgw-gateway/src/forward/exchange.rs
@@ -0,0 +1,95 @@
+//! A request at one server: its connection, and what has been read of the response.
+
+use std::future::poll_fn;
+use std::task::Poll;
+use std::time::Duration;
+
+use bytes::BytesMut;
+use mgw_base::time::Instant;
+use mgw_http::body::Decoder;
+use mgw_http::head::Response;
+
+use crate::connection::Connection;
+use crate::forward::target::Target;
+use crate::memory::Reservation;
+use crate::pool;
+
+/// What has been read of a response.
+#[derive(Debug)]
+pub(super) enum Stage {
+    /// Nothing, or only a part of its head.
+    Head,
+    /// The head of a stream that is relayed.
+    Stream { response: Response, decoder: Decoder, body: BytesMut },
+    /// The head of a response that is read as a whole.
+    Body { response: Response, decoder: Decoder, body: BytesMut, reservation: Reservation },
+}
+
+/// Progress of a server with the response to a request.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Progress {
+    /// When it sent its first event or a whole response; `None` before.
+    pub(super) writing_since: Option<Instant>,
+    /// Whether it has answered for long enough to clear the parts of the prompt.
+    pub(super) has_settled: bool,
+}
+
+/// Whether the connection of an exchange may carry another request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Reuse {
+    /// The response has not been read to its end, or the server closes the connection after it.
+    Never,
+    /// The connection is idle. The server keeps it open for `timeout`, if it states one.
+    Idle { timeout: Option<Duration> },
+}
+
+/// A request that has been sent to a server.
+#[derive(Debug)]
+pub(super) struct Exchange {
+    pub(super) target: Target,
+    pub(super) connection: Connection,
+    /// Whether the server took the whole request.
+    pub(super) is_fully_sent: bool,
+    pub(super) stage: Stage,
+    pub(super) reuse: Reuse,
+    /// Progress up to the suspension. Used while another server is tried.
+    pub(super) progress: Progress,
+    /// The incomplete event at the end of the stream so far. Used while another server is tried.
+    pub(super) partial: BytesMut,
+    /// Until when a silent server is waited for once no other one is left, if it has not begun to
+    /// answer; `None` before the first stall.
+    pub(super) given_up_at: Option<Instant>,
+}
+
+impl Exchange {
+    /// A request whose response has not begun.
+    pub(super) fn new(target: Target, connection: Connection, is_fully_sent: bool) -> Self {
+        Self {
+            target,
+            connection,
+            is_fully_sent,
+            stage: Stage::Head,
+            reuse: Reuse::Never,
+            progress: Progress::default(),
+            partial: BytesMut::new(),
+            given_up_at: None,
+        }
+    }
+
+    /// Records that `response` has been read to its end.
+    pub(super) fn finish(&mut self, response: &Response) {
+        if self.is_fully_sent && response.keeps_alive() && self.connection.input.is_empty() {
+            self.reuse = Reuse::Idle { timeout: pool::keep_alive_timeout(response) };
+        }
+    }
+}
+
+/// Waits until the server of one of the `exchanges` sends something or closes its connection.
+/// Returns the index of that exchange; waits without end if there is none.
+pub(super) async fn readable(exchanges: &[Exchange]) -> usize {
+    poll_fn(|context| {
+        let is_readable = |it: &Exchange| it.connection.poll_readable(context).is_ready();
+        exchanges.iter().position(is_readable).map_or(Poll::Pending, Poll::Ready)
+    })
+    .await
+}
--- a/crates/mgw-gateway/src/forward/record.rs
+++ b/crates/mgw-gateway/src/forward/record.rs
@@ -12,8 +12,7 @@
 use crate::clock;
 use crate::crash::{self, Disconnect};
 use crate::exchange::Failure;
-use crate::forward::target::Target;
-use crate::forward::{ActiveRequest, NO_TIMEOUT};
+use crate::forward::{ActiveRequest, NO_TIMEOUT, Next};
 use crate::in_flight::Wait;
 
 /// Time for which new requests avoid a server after a failed connection to it or a 421 response.
@@ -26,7 +25,8 @@
 impl ActiveRequest<'_> {
     /// Records the failure of an attempt: for the request, the load of the target, the pool and the
     /// detection of crashes.
-    pub(super) fn record_failure(&mut self, target: &Target, failure: Failure) {
+    pub(super) fn record_failure(&mut self, failure: Failure) {
+        let Some(target) = self.target.clone() else { return };
         self.may_have_run |= self.has_begun_sending && failure.may_have_run();
         let now = clock::now();
         self.splitter.drop_partial();
@@ -39,7 +39,7 @@
                 request: InFlight { fingerprint: self.fingerprint, suspect: self.suspect },
                 attempt_id: self.metadata.attempt_id.clone(),
                 shared_parts: self.shared_parts.clone(),
-                writing_for: self.writing_since.map(|since| now.since(since)),
+                writing_for: self.progress.writing_since.map(|since| now.since(since)),
             };
             crash::record_disconnect(self.gateway, target.address, disconnect);
         }
@@ -57,6 +57,17 @@
         });
     }
 
+    /// Records that the request is sent to another server after `failure`.
+    pub(super) fn record_retry(&self, next: Next, failure: Failure) {
+        let kind = match (next, self.is_started) {
+            (Next::Suspended, _) => return,
+            (Next::Target, true) => EventKind::RequestResumed,
+            (Next::Target, false) => EventKind::RequestRetried,
+        };
+        let server = self.target.as_ref().map(|target| target.name.as_str()).unwrap_or_default();
+        self.record_event(kind, &format!("{failure} at {server}"));
+    }
+
     /// Sets what the request waits for in the table of requests in flight, and restarts its stall
     /// timeout.
     pub(super) fn set_wait(&self, target: Option<ServerKey>, wait: Wait, stall_timeout: Duration) {
@@ -71,9 +82,9 @@
     /// answered for [`SETTLE_TIME`] or up to the end, the parts of the prompt are cleared.
     pub(super) fn record_answering(&mut self, is_complete: bool) {
         let now = clock::now();
-        let began = *self.writing_since.get_or_insert(now);
-        if !self.has_settled && (is_complete || now.since(began) >= SETTLE_TIME) {
-            self.has_settled = true;
+        let began = *self.progress.writing_since.get_or_insert(now);
+        if !self.progress.has_settled && (is_complete || now.since(began) >= SETTLE_TIME) {
+            self.progress.has_settled = true;
             self.gateway.with(|state| {
                 state.poison.record_answer(&self.shared_parts, began, now);
                 state.record_poison_changes();
@@ -116,16 +127,20 @@
         let now = clock::now();
         let age = now.since(self.arrived).as_millis();
         let route = &self.route().name;
+        let (server, load) = match &self.target {
+            Some(target) => (target.name.as_str(), target.requests),
+            None => ("", 0.0),
+        };
         self.gateway.with(|state| {
             let proof = state.config_proof.age(now).map_or(0, |age| age.as_millis());
             let text = format!(
                 "{text}; route {route}, config {} proven {proof} ms ago, attempt {}, \
-                 target load {:.1}, age {age} ms",
-                self.config.version, self.attempts, self.target_load
+                 target load {load:.1}, age {age} ms",
+                self.config.version, self.attempts
             );
             let event = Body::new(kind)
                 .request(&self.metadata.attempt_id)
-                .instance(&self.last_target)
+                .instance(server)
                 .team(self.team.as_deref().unwrap_or_default())
                 .text(text);
             state.journal.record(event);
--- a/crates/mgw-gateway/src/forward/response.rs
+++ b/crates/mgw-gateway/src/forward/response.rs
@@ -4,7 +4,7 @@
 
 use bytes::BytesMut;
 use mgw_event::Kind as EventKind;
-use mgw_http::body::{Decoder, Framing};
+use mgw_http::body::Framing;
 use mgw_http::head::Response;
 use mgw_http::write;
 use platform::header;
@@ -13,7 +13,7 @@
 use crate::clock;
 use crate::connection::Connection;
 use crate::exchange::{Answer, Failure, Outcome};
-use crate::forward::target::Target;
+use crate::forward::exchange::{Exchange, Stage};
 use crate::forward::{ActiveRequest, Persistence};
 use crate::reply::{self, Cause};
 
@@ -23,19 +23,19 @@
     pub(super) async fn relay_stream(
         &mut self,
         caller: &mut Connection,
-        mut connection: Connection,
-        target: &Target,
-        response: Response,
-        is_fully_sent: bool,
+        exchange: &mut Exchange,
     ) -> Result<Outcome, Failure> {
-        let mut decoder = Decoder::new(response.framing);
-        let mut body = BytesMut::new();
+        let target = exchange.target.id;
         let mut output = BytesMut::new();
         loop {
-            decoder.decode(&mut connection.input, &mut body).map_err(|_| Failure::Malformed)?;
+            let connection = &mut exchange.connection;
+            let Stage::Stream { response, decoder, body } = &mut exchange.stage else {
+                return Err(Failure::Malformed);
+            };
+            decoder.decode(&mut connection.input, body).map_err(|_| Failure::Malformed)?;
             let mut events = BytesMut::new();
-            self.splitter.push(&mut body, &mut events);
-            let is_empty = events.is_empty() && self.writing_since.is_none();
+            self.splitter.push(body, &mut events);
+            let is_empty = events.is_empty() && self.progress.writing_since.is_none();
             let is_broken_off = self.splitter.is_partial() || is_empty;
             if decoder.is_done() && response.framing == Framing::Close && is_broken_off {
                 return Err(Failure::ConnectionLost);
@@ -44,26 +44,31 @@
                 events.unsplit(self.splitter.take_partial());
             }
             if !events.is_empty() || decoder.is_done() {
+                self.end_suspended();
                 self.record_answering(decoder.is_done());
-                self.append_events(&mut output, &response, &events, decoder.is_done());
+                self.append_events(&mut output, response, &events, decoder.is_done());
                 let written = self.write_to_caller(caller, &output).await;
                 output.clear();
                 written?;
-                self.record_progress(target.id);
+                self.record_progress(target);
             }
             if decoder.is_done() {
-                self.pool_connection(connection, target, &response, is_fully_sent);
-                return Ok(Outcome::Streamed);
+                break;
             }
             if self.splitter.is_oversized() {
                 return Err(Failure::Malformed);
             }
-            match self.read_from(caller, &mut connection).await? {
+            match self.read_from(caller, connection).await? {
                 Ok(0) => decoder.finish().map_err(|_| Failure::ConnectionLost)?,
                 Ok(_) => {}
                 Err(_) => return Err(Failure::ConnectionLost),
             }
         }
+        if let Stage::Stream { response, .. } = std::mem::replace(&mut exchange.stage, Stage::Head)
+        {
+            exchange.finish(&response);
+        }
+        Ok(Outcome::Streamed)
     }
 
     /// Appends events to `output` in the framing of the caller's connection, with the head of the
--- a/crates/mgw-http/src/sse.rs
+++ b/crates/mgw-http/src/sse.rs
@@ -61,6 +61,12 @@
         self.partial.split()
     }
 
+    /// Continues with the bytes of an incomplete event that [`Splitter::take_partial`] returned.
+    pub fn restore_partial(&mut self, partial: BytesMut) {
+        self.partial = partial;
+        self.searched = 0;
+    }
+
     /// Returns the length of the first event with the blank line that ends it. Searches again from
     /// 3 bytes before the new ones, because a blank line may arrive in pieces.
     fn find_end(&mut self) -> Option<usize> {
