Reject a head that contains another status line

A caller got a 503 with the body and the attempt id of a 200: the server had sent the first 20 bytes of an earlier refusal once more, and the response to the request followed on the same connection.

Cause: a status line that is cut in its reason phrase, or a field that is cut in its value, goes on with the next head, so that both parse as one head with the status of the first and the fields of the second. A cut anywhere else is malformed already.

Evidence: rejects_a_cut_head_that_is_followed_by_a_response fails without the change at the first cut in the reason phrase.

Fix: a reason phrase or a value that contains `HTTP/1.x` and a status code makes the head malformed. `Via: HTTP/1.1 proxy` is still accepted.

--- a/crates/mgw-http/src/head.rs
+++ b/crates/mgw-http/src/head.rs
@@ -79,6 +79,11 @@
         })
     }
 
+    /// Returns true if a value contains the beginning of a status line.
+    fn contains_status_line(&self) -> bool {
+        self.iter().any(|(_, value)| contains_status_line(value))
+    }
+
     /// Parses `Content-Length`. Repeated fields must have equal values; signs and lists are
     /// rejected, because a server might read another length and so find another request in the
     /// body.
@@ -173,6 +178,16 @@
     Ok(Some(Request { method, target, is_http_11, fields, framing }))
 }
 
+/// Returns true if `text` contains the version and status code with which a status line begins.
+fn contains_status_line(text: &[u8]) -> bool {
+    const VERSION: &[u8] = b"HTTP/1.";
+    memchr::memmem::find_iter(text, VERSION).any(|start| {
+        let rest = &text[start + VERSION.len()..];
+        matches!(rest, [minor, b' ', code @ ..]
+            if minor.is_ascii_digit() && code.len() >= 3 && code[..3].iter().all(u8::is_ascii_digit))
+    })
+}
+
 /// The head of a response.
 #[derive(Clone, Debug)]
 pub struct Response {
@@ -207,7 +222,9 @@
 ///
 /// # Errors
 ///
-/// The head is malformed or larger than `limit` bytes, or the body length is ambiguous.
+/// The head is malformed or larger than `limit` bytes, or the body length is ambiguous. A head that
+/// contains another status line is malformed: it begins with the part of a head that was cut off,
+/// and goes on with the head of the next response.
 pub fn parse_response(input: &mut BytesMut, limit: usize) -> Result<Option<Response>, Error> {
     let mut storage = [httparse::EMPTY_HEADER; MAX_FIELDS];
     let mut parsed = httparse::Response::new(&mut storage);
@@ -218,9 +235,13 @@
         Err(_) => return Err(Error::Head),
     };
     let status = parsed.code.ok_or(Error::Head)?;
+    let is_cut_reason = contains_status_line(parsed.reason.unwrap_or_default().as_bytes());
     let is_http_11 = parsed.version == Some(1);
     let mut fields = Fields::new(Bytes::new(), parsed.headers, input);
     fields.bytes = input.split_to(size).freeze();
+    if is_cut_reason || fields.contains_status_line() {
+        return Err(Error::Head);
+    }
     let framing = match (fields.is_chunked()?, fields.content_length()?) {
         _ if matches!(status, 100..=199 | 204 | 304) => Framing::Length(0),
         (true, None) => Framing::Chunked,
--- a/crates/mgw-http/tests/head.rs
+++ b/crates/mgw-http/tests/head.rs
@@ -86,3 +86,17 @@
 fn rejects_bytes_that_are_not_a_response() {
     assert_eq!(response("garbage\r\n\r\n").err(), Some(Error::Head));
 }
+
+/// Guards against a head that was cut off and then takes the rest of its fields, such as an id, from
+/// the response that follows it on the connection.
+#[test]
+fn rejects_a_cut_head_that_is_followed_by_a_response() {
+    let first = "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nRetry-After: 1\r\n\r\n";
+    let second = "HTTP/1.1 200 OK\r\nAttempt-Id: a\r\nContent-Length: 0\r\n\r\n";
+    for end in 1..first.len() {
+        let text = format!("{}{second}", &first[..end]);
+        assert!(response(&text).is_err(), "{text}");
+    }
+    let via = "HTTP/1.1 200 OK\r\nVia: HTTP/1.1 proxy\r\nContent-Length: 0\r\n\r\n";
+    assert!(response(via).is_ok_and(|head| head.is_some()));
+}
