Do not take a repeated refusal for that of the next request

Cause: a response without an attempt id was taken for that of the request in flight, also on a connection that had carried other exchanges. After a refusal without an id the connection was even kept, so that a copy of it could arrive there.

Fix: on a connection that was used before, a response without an id is not that of the request. On a new connection a refusal without an id is believed, as nothing else can arrive there, but the connection is not kept. Requests without an id use new connections.

How often sound servers refuse without an id on kept connections was not measured; events `request_retried` and `answer_discarded` state it ("refusal without an attempt id", "response without an attempt id").

--- a/crates/mgw-gateway/src/connection.rs
+++ b/crates/mgw-gateway/src/connection.rs
@@ -36,13 +36,16 @@
     stream: TcpStream,
     /// Bytes that were received and not consumed yet.
     pub input: BytesMut,
+    /// Whether it has carried an exchange before the present one, whose response the server may
+    /// send once more.
+    pub is_reused: bool,
 }
 
 impl Connection {
     /// Sets the options of an open stream and wraps it.
     pub fn new(stream: TcpStream) -> Self {
         set_options(&stream);
-        Self { stream, input: BytesMut::new() }
+        Self { stream, input: BytesMut::new(), is_reused: false }
     }
 
     /// Connects within `limit`.
--- a/crates/mgw-gateway/src/exchange.rs
+++ b/crates/mgw-gateway/src/exchange.rs
@@ -21,6 +21,12 @@
     ConnectionLost,
     /// The bytes received are not a valid response to this request.
     Malformed,
+    /// The response is a refusal without an attempt id, which may repeat that of an earlier request
+    /// on the connection.
+    UnidentifiedRefusal {
+        /// Status code of the response.
+        status: u16,
+    },
     /// The server that was to resume a stream responded with an error. The caller already has the
     /// head of another response.
     NotResumed {
@@ -56,6 +62,9 @@
             Failure::NotRun { status } => write!(formatter, "not executed, status {status}"),
             Failure::ConnectionLost => formatter.write_str("connection lost"),
             Failure::Malformed => formatter.write_str("malformed response"),
+            Failure::UnidentifiedRefusal { status } => {
+                write!(formatter, "refusal without an attempt id, status {status}")
+            }
             Failure::NotResumed { status } => write!(formatter, "not resumed, status {status}"),
             Failure::Stalled => formatter.write_str("target stalled"),
             Failure::Superseded => formatter.write_str("an earlier target goes on"),
--- a/crates/mgw-gateway/src/forward.rs
+++ b/crates/mgw-gateway/src/forward.rs
@@ -104,7 +104,7 @@
     tried: Vec<ServerKey>,
     /// Number of attempts so far, not counting failed connections.
     attempts: u32,
-    /// Number of attempts that servers refused without running the request.
+    /// Number of attempts that servers refused, as far as is known without running the request.
     refusals: u32,
     /// Number of failed connections.
     failed_connects: usize,
--- a/crates/mgw-gateway/src/forward/attempt.rs
+++ b/crates/mgw-gateway/src/forward/attempt.rs
@@ -187,14 +187,19 @@
         Ok(())
     }
 
-    /// Takes an idle connection to `target` from the pool or opens a new one.
+    /// Takes an idle connection to `target` from the pool or opens a new one. The response to a
+    /// request without an attempt id can be told from others only on a new one.
     pub(super) async fn connect(
         &mut self,
         caller: &mut Connection,
         target: &Target,
     ) -> Result<Connection, Failure> {
         let now = clock::now();
-        if let Some(connection) = self.gateway.with(|state| state.pool.take(target.id, now)) {
+        let pooled = match self.metadata.attempt_id.is_empty() {
+            true => None,
+            false => self.gateway.with(|state| state.pool.take(target.id, now)),
+        };
+        if let Some(connection) = pooled {
             return Ok(connection);
         }
         self.gateway.count("connections", "opened");
@@ -234,6 +239,10 @@
 
     /// Reads the head of the response to this request. Responses that name another attempt are
     /// skipped, as are interim (1xx) ones, up to a limit of each.
+    ///
+    /// A response without an attempt id is taken for that of this request only if no other one can
+    /// arrive on the connection; otherwise it is skipped. After such a refusal, a request that may
+    /// be repeated fails, so that it is sent to another server, and any other one waits.
     pub(super) async fn read_head(
         &mut self,
         caller: &mut Connection,
@@ -242,16 +251,25 @@
         for _ in 0..=MAX_FOREIGN_RESPONSES {
             let response = self.read_next_head(caller, connection).await?;
             let response_metadata = header::parse_response_metadata(&response);
-            match &response_metadata.attempt_id {
+            let status = response.status;
+            let text = match &response_metadata.attempt_id {
                 Some(attempt) if *attempt != self.metadata.attempt_id => {
-                    self.record_event(
-                        EventKind::AnswerDiscarded,
-                        &format!("response to attempt {attempt}"),
-                    );
-                    self.skip_body(caller, connection, response.framing).await?;
+                    format!("response to attempt {attempt}, status {status}")
                 }
-                _ => return Ok((response, response_metadata)),
-            }
+                None if connection.is_reused
+                    && response_metadata.is_not_executed
+                    && self.route().kind.is_repeatable() =>
+                {
+                    return Err(Failure::UnidentifiedRefusal { status });
+                }
+                None if connection.is_reused => {
+                    format!("response without an attempt id, status {status}")
+                }
+                Some(_) | None => return Ok((response, response_metadata)),
+            };
+            self.record_event(EventKind::AnswerDiscarded, &text);
+            self.skip_body(caller, connection, response.framing).await?;
+            connection.is_reused = true;
         }
         Err(Failure::Malformed)
     }
--- a/crates/mgw-gateway/src/forward/exchange.rs
+++ b/crates/mgw-gateway/src/forward/exchange.rs
@@ -8,6 +8,7 @@
 use mgw_base::time::Instant;
 use mgw_http::body::Decoder;
 use mgw_http::head::Response;
+use platform::header;
 
 use crate::connection::Connection;
 use crate::forward::target::Target;
@@ -78,7 +79,9 @@
 
     /// Records that `response` has been read to its end.
     pub(super) fn finish(&mut self, response: &Response) {
-        if self.is_fully_sent && response.keeps_alive() && self.connection.input.is_empty() {
+        let is_identified = header::parse_response_metadata(response).attempt_id.is_some();
+        let is_idle = response.keeps_alive() && self.connection.input.is_empty();
+        if self.is_fully_sent && is_identified && is_idle {
             self.reuse = Reuse::Idle { timeout: pool::keep_alive_timeout(response) };
         }
     }
--- a/crates/mgw-gateway/src/forward/record.rs
+++ b/crates/mgw-gateway/src/forward/record.rs
@@ -30,7 +30,7 @@
         self.may_have_run |= self.has_begun_sending && failure.may_have_run();
         let now = clock::now();
         self.splitter.drop_partial();
-        if matches!(failure, Failure::NotRun { .. }) {
+        if matches!(failure, Failure::NotRun { .. } | Failure::UnidentifiedRefusal { .. }) {
             self.refusals += 1;
         }
         if failure == Failure::ConnectionLost && self.has_begun_sending {
@@ -50,7 +50,9 @@
             let Some(load) = state.roster.load_mut(target.id) else { return };
             match failure {
                 Failure::Connect => load.avoid_until(now + UNREACHABLE_COOLDOWN),
-                Failure::ConnectionLost | Failure::Malformed => load.record_result(true, now),
+                Failure::ConnectionLost
+                | Failure::Malformed
+                | Failure::UnidentifiedRefusal { .. } => load.record_result(true, now),
                 Failure::NotRun { status: 421 } => load.avoid_until(now + UNREACHABLE_COOLDOWN),
                 _ => {}
             }
--- a/crates/mgw-gateway/src/pool.rs
+++ b/crates/mgw-gateway/src/pool.rs
@@ -42,6 +42,7 @@
         let idle = self.idle.get_mut(&server)?;
         while let Some(mut last) = idle.pop() {
             if last.expires_at > now && last.connection.is_idle() {
+                last.connection.is_reused = true;
                 return Some(last.connection);
             }
         }
@@ -50,6 +51,9 @@
 
     /// Returns a connection to the pool, or closes it if the pool of its server is full. `timeout`
     /// is the keep-alive timeout that the server stated.
+    ///
+    /// A refusal without an attempt id must not have been received on the connection: if the server
+    /// sends it once more, nothing tells it apart from the refusal of the next request.
     pub fn put(
         &mut self,
         server: ServerKey,
