Do not pass on a 503 that does not state that the request has not run

A caller of a non-idempotent request got the 408, 429 or 503 of a server that had run it. Callers take these statuses for a promise and send the request again.

Cause: only `Not-Executed` and 421 make a refusal, and any other response of a server was passed on unchanged.

Evidence: a_status_that_promises_too_much_is_not_passed_on failed with 408 in place of 502 at the first of three statuses.

Fix: without the statement, a response with one of these statuses to a request that may not be repeated becomes the gateway's own 502, which promises nothing. For requests that may be repeated it is passed on as before.

--- a/crates/mgw-gateway/src/forward.rs
+++ b/crates/mgw-gateway/src/forward.rs
@@ -223,6 +223,13 @@
                         && answer.head.status != 504
                         && self.route().kind == Kind::Idempotent;
                     self.may_have_run = true;
+                    // The server does not state that it has not run the request, but the caller
+                    // would take its status for that.
+                    if header::is_not_run_promise(answer.head.status)
+                        && !self.route().kind.is_repeatable()
+                    {
+                        return self.fail(caller, Cause::ServerFailed).await;
+                    }
                     let retry =
                         is_worth_retry.then(|| self.next_after(Failure::ConnectionLost)).flatten();
                     let Some(retry) = retry else { return self.send_answer(caller, answer).await };
