Do not take the refusal of a request for the response to an order or a probe

An instance whose server sent the refusal of a request once more before its response to an order or a probe counted as gone: no group opened.

Cause: orders and probes share the pool of connections with requests, and took the first response for theirs. A 421 means to a probe that another process uses the address.

Evidence: a_repeated_refusal_does_not_answer_an_order_or_a_probe timed out after 10 s without an open group.

Fix: orders and probes state no attempt id, so a response with one is skipped, two at most. A connection is kept only after a success, since a refusal of an order that is sent once more would reach the next request. A repeated success of an earlier order or probe does no harm: the instance checks the count of orders, and older reports are dropped.

--- a/crates/mgw-gateway/src/control.rs
+++ b/crates/mgw-gateway/src/control.rs
@@ -9,6 +9,8 @@
 use mgw_event::event::Body;
 use mgw_fleet::entry::{self, Phase, Role};
 use mgw_fleet::plan::{self, Action, Command, Note, Planner, ProbeResult, Reply, View};
+use mgw_http::head::Response;
+use platform::header;
 use platform::order;
 use platform::store;
 use smol_str::SmolStr;
@@ -36,6 +38,10 @@
 /// Maximum size of a response head in bytes.
 const MAX_HEAD_BYTES: usize = 16 << 10;
 
+/// Maximum responses to requests of callers that are skipped before the response to an order or a
+/// probe.
+const MAX_FOREIGN_RESPONSES: usize = 2;
+
 /// Maximum size of an instance's response body in bytes.
 const MAX_BODY_BYTES: usize = 256 << 10;
 
@@ -324,9 +330,9 @@
         order::write_head(&mut output, path, instance, body.len());
         output.extend_from_slice(body);
         connection.write(&output).await?;
-        let (head, response_body) =
-            connection.read_response(MAX_HEAD_BYTES, MAX_BODY_BYTES).await?;
-        let is_reusable = head.keeps_alive() && connection.input.is_empty();
+        let (head, response_body) = read_control_response(&mut connection).await?;
+        // A refusal states no id, so a request would take it for its own if it arrived once more.
+        let is_reusable = head.is_success() && head.keeps_alive() && connection.input.is_empty();
         Ok::<_, io::Error>((head, response_body, is_reusable.then_some(connection)))
     };
     let result = tokio::time::timeout(limit, exchange).await;
@@ -338,3 +344,15 @@
     }
     Ok((head.status, response_body))
 }
+
+/// Reads the response to an order or a probe. Orders and probes have no attempt id, so a response
+/// that states one repeats that to an earlier request on the connection, and is skipped.
+async fn read_control_response(connection: &mut Connection) -> io::Result<(Response, BytesMut)> {
+    for _ in 0..=MAX_FOREIGN_RESPONSES {
+        let (head, body) = connection.read_response(MAX_HEAD_BYTES, MAX_BODY_BYTES).await?;
+        if header::parse_response_metadata(&head).attempt_id.is_none() {
+            return Ok((head, body));
+        }
+    }
+    Err(io::ErrorKind::InvalidData.into())
+}
