Do not pass on a response that does not resume the stream

Cause: any 2xx of the next server was relayed. Its media type, the ids of its events, and what it left of an event at its end were not looked at. Responses with an error status were held back already.

Fix: a response resumes a stream only if it is a 200 of the media type whose head the caller has. Its first event with data must have an id after the last one that was passed on, and no line of an event begins like a status line. A stream of events whose framing ends inside an event counts as broken off, as one without framing did. Events before the fault are passed on, and the next attempt goes on after them.

Limits: a later id that leaves out events, and an empty 200 of the right type, can't be told from a proper continuation.

--- a/crates/mgw-gateway/src/forward.rs
+++ b/crates/mgw-gateway/src/forward.rs
@@ -118,6 +118,8 @@
     splitter: Splitter,
     /// Whether the head of a response has been passed on to the caller.
     is_started: bool,
+    /// Media type in the head that was passed on; empty if it states none.
+    media_type: SmolStr,
     /// Whether this is the last request of the caller's connection.
     is_last: bool,
     /// When the first event or the whole response was passed on.
--- a/crates/mgw-gateway/src/forward/admit.rs
+++ b/crates/mgw-gateway/src/forward/admit.rs
@@ -120,6 +120,7 @@
         has_retry_permit: false,
         splitter: Splitter::default(),
         is_started: false,
+        media_type: SmolStr::default(),
         is_last,
         first_event: None,
         progress: Progress::default(),
--- a/crates/mgw-gateway/src/forward/attempt.rs
+++ b/crates/mgw-gateway/src/forward/attempt.rs
@@ -166,7 +166,7 @@
             return Err(Failure::NotRun { status: response.status });
         }
         let body = BytesMut::new();
-        exchange.stage = match response.is_success() && self.route().kind.is_stream() {
+        exchange.stage = match self.is_stream(&response) {
             true => {
                 let decoder = Decoder::new(response.framing);
                 Stage::Stream { response, decoder, body }
@@ -187,6 +187,14 @@
         Ok(())
     }
 
+    /// Whether a response is a stream for the caller. One that resumes a stream must be of the same
+    /// kind as the first one, whose head the caller has.
+    fn is_stream(&self, response: &Response) -> bool {
+        let is_same_kind =
+            response.status == 200 && response.media_type().eq_ignore_ascii_case(&self.media_type);
+        self.route().kind.is_stream() && response.is_success() && (!self.is_started || is_same_kind)
+    }
+
     /// Takes an idle connection to `target` from the pool or opens a new one. The response to a
     /// request without an attempt id can be told from others only on a new one.
     pub(super) async fn connect(
@@ -414,7 +422,8 @@
         self.target = Some(exchange.target.clone());
         self.has_begun_sending = true;
         self.progress = exchange.progress;
-        self.splitter.restore_partial(std::mem::take(&mut exchange.partial));
+        let has_begun = self.progress.writing_since.is_some();
+        self.splitter.return_to(std::mem::take(&mut exchange.partial), has_begun);
         self.given_up_at = exchange.given_up_at.filter(|_| !self.is_started);
         self.record_event(EventKind::RequestReturned, "waits again for a server that had stalled");
         match (self.progress.writing_since, self.given_up_at) {
--- a/crates/mgw-gateway/src/forward/record.rs
+++ b/crates/mgw-gateway/src/forward/record.rs
@@ -29,7 +29,7 @@
         let Some(target) = self.target.clone() else { return };
         self.may_have_run |= self.has_begun_sending && failure.may_have_run();
         let now = clock::now();
-        self.splitter.drop_partial();
+        self.splitter.resume();
         if matches!(failure, Failure::NotRun { .. } | Failure::UnidentifiedRefusal { .. }) {
             self.refusals += 1;
         }
--- a/crates/mgw-gateway/src/forward/response.rs
+++ b/crates/mgw-gateway/src/forward/response.rs
@@ -17,6 +17,9 @@
 use crate::forward::{ActiveRequest, Persistence};
 use crate::reply::{self, Cause};
 
+/// Media type of a stream of server-sent events.
+const EVENT_STREAM: &str = "text/event-stream";
+
 impl ActiveRequest<'_> {
     /// Relays a stream to the caller, one or more complete events at a time, so that it can be
     /// resumed at another server after the last one.
@@ -32,32 +35,37 @@
             let Stage::Stream { response, decoder, body } = &mut exchange.stage else {
                 return Err(Failure::Malformed);
             };
+            let must_end_with_event = self.is_started
+                || response.framing == Framing::Close
+                || response.media_type().eq_ignore_ascii_case(EVENT_STREAM);
             decoder.decode(&mut connection.input, body).map_err(|_| Failure::Malformed)?;
             let mut events = BytesMut::new();
             self.splitter.push(body, &mut events);
             let is_empty = events.is_empty() && self.progress.writing_since.is_none();
-            let is_broken_off = self.splitter.is_partial() || is_empty;
-            if decoder.is_done() && response.framing == Framing::Close && is_broken_off {
-                return Err(Failure::ConnectionLost);
-            }
-            if decoder.is_done() {
+            let is_broken_off = self.splitter.is_partial() && must_end_with_event
+                || is_empty && response.framing == Framing::Close;
+            let is_end = decoder.is_done() && !is_broken_off && !self.splitter.has_stray();
+            if is_end {
                 events.unsplit(self.splitter.take_partial());
             }
-            if !events.is_empty() || decoder.is_done() {
+            if !events.is_empty() || is_end {
                 self.end_suspended();
-                self.record_answering(decoder.is_done());
-                self.append_events(&mut output, response, &events, decoder.is_done());
+                self.record_answering(is_end);
+                self.append_events(&mut output, response, &events, is_end);
                 let written = self.write_to_caller(caller, &output).await;
                 output.clear();
                 written?;
                 self.record_progress(target);
             }
-            if decoder.is_done() {
+            if is_end {
                 break;
             }
-            if self.splitter.is_oversized() {
+            if self.splitter.has_stray() || self.splitter.is_oversized() {
                 return Err(Failure::Malformed);
             }
+            if decoder.is_done() {
+                return Err(Failure::ConnectionLost);
+            }
             match self.read_from(caller, connection).await? {
                 Ok(0) => decoder.finish().map_err(|_| Failure::ConnectionLost)?,
                 Ok(_) => {}
@@ -88,6 +96,7 @@
         self.event_gap.0 = Some(now);
         if !self.is_started {
             self.is_started = true;
+            self.media_type = response.media_type().into();
             self.first_event = Some(now);
             self.write_head(output, response, None);
         }
--- a/crates/mgw-http/src/head.rs
+++ b/crates/mgw-http/src/head.rs
@@ -209,6 +209,12 @@
             && !self.fields.has_token("connection", "close")
     }
 
+    /// Returns the media type without its parameters; empty if none is stated.
+    pub fn media_type(&self) -> &str {
+        let value = self.fields.get_str("content-type").unwrap_or_default();
+        value.split(';').next().unwrap_or_default().trim()
+    }
+
     /// Returns true if the status code is 2xx.
     pub fn is_success(&self) -> bool {
         (200..300).contains(&self.status)
--- a/crates/mgw-http/tests/sse.rs
+++ b/crates/mgw-http/tests/sse.rs
@@ -17,7 +17,7 @@
     assert_eq!(push(&mut splitter, "id: 1\ndata: a\n\nid: 2\nda"), "id: 1\ndata: a\n\n");
     assert!(splitter.is_partial());
     assert_eq!(splitter.last_id(), Some(1));
-    splitter.drop_partial();
+    splitter.resume();
     assert_eq!(push(&mut splitter, "id: 2\ndata: b\n\n"), "id: 2\ndata: b\n\n");
     assert_eq!(splitter.last_id(), Some(2));
 }
@@ -54,6 +54,26 @@
     splitter.push(&mut BytesMut::from(&vec![b'x'; 256 << 10][..]), &mut output);
     assert!(splitter.is_oversized());
     assert_eq!((&output[..], splitter.last_id()), (&b"id: 1\n\n"[..], Some(1)));
-    splitter.drop_partial();
+    splitter.resume();
     assert!(!splitter.is_oversized());
 }
+
+/// Guards against a resumed stream in which an event comes twice, or in which the error of the
+/// server that resumes it passes for an event.
+#[test]
+fn a_resumed_stream_goes_on_after_the_last_id() {
+    for (text, passed) in [
+        ("id: 3\ndata: c\n\n", "id: 3\ndata: c\n\n"),
+        (": ping\n\nid: 3\ndata: c\n\ndata: d\n\n", ": ping\n\nid: 3\ndata: c\n\ndata: d\n\n"),
+        ("id: 2\ndata: b\n\nid: 3\ndata: c\n\n", ""),
+        ("event: error\ndata: failed\n\n", ""),
+        ("id: 3\ndata: c\n\nHTTP/1.1 503 Unavailable\r\n\r\nfull", "id: 3\ndata: c\n\n"),
+    ] {
+        let mut splitter = Splitter::default();
+        push(&mut splitter, "id: 2\ndata: b\n\nid: 3\nda");
+        splitter.resume();
+        assert_eq!(push(&mut splitter, text), passed, "{text}");
+        assert_eq!(splitter.has_stray(), passed != text, "{text}");
+        assert_eq!(push(&mut splitter, "id: 4\n\n").is_empty(), passed != text, "{text}");
+    }
+}
