Do not resume a stream whose events have no ids

A caller got the events of a stream twice if they had no ids and the connection to the server broke: the next server sent the stream from its beginning.

Cause: a stream that had begun was sent on without `Last-Event-Id` if no event with an id had been passed on.

Evidence: a_stream_without_ids_is_not_resumed failed with the first event twice.

Fix: a stream that has begun may be sent again only if there is an id after which it goes on. The same check applies when a stalled stream may move.

--- a/crates/mgw-gateway/src/forward.rs
+++ b/crates/mgw-gateway/src/forward.rs
@@ -300,7 +300,7 @@
     /// connection, or draws a retry from the budget unless one has already been drawn.
     fn prepare_retry(&mut self, failure: Failure) -> bool {
         let now = clock::now();
-        let is_repeatable = self.route().kind.is_repeatable() || !self.may_have_run;
+        let is_repeatable = self.is_repeatable() || !self.may_have_run;
         if !failure.is_server_failure() || !is_repeatable || now + MIN_ATTEMPT_TIME >= self.deadline
         {
             return false;
@@ -315,6 +315,13 @@
         std::mem::take(&mut self.has_retry_permit) || self.draw_retry(now)
     }
 
+    /// Whether the request may be sent again although it may have run. A stream that has begun needs
+    /// an id after which it goes on.
+    fn is_repeatable(&self) -> bool {
+        let has_position = !self.is_started || self.splitter.last_id().is_some();
+        has_position && self.route().kind.is_repeatable()
+    }
+
     /// Whether the route allows another attempt. Once a stream has begun, servers that refused it
     /// without running it do not use up attempts.
     fn has_attempts_left(&self) -> bool {
@@ -382,7 +389,7 @@
         match alarm {
             Alarm::Deadline => Some(Failure::Deadline),
             Alarm::Stalled => {
-                let may_move = self.route().kind.is_repeatable()
+                let may_move = self.is_repeatable()
                     && self.has_attempts_left()
                     && now + MIN_ATTEMPT_TIME < self.deadline
                     && self.choose_target().is_ok()
