--- a/crates/mgw-gateway/src/forward/response.rs
+++ b/crates/mgw-gateway/src/forward/response.rs
@@ -29,13 +29,14 @@
         exchange: &mut Exchange,
     ) -> Result<Outcome, Failure> {
         let target = exchange.target.id;
+        let resumes = self.is_started && self.progress.writing_since.is_none();
         let mut output = BytesMut::new();
         loop {
             let connection = &mut exchange.connection;
             let Stage::Stream { response, decoder, body } = &mut exchange.stage else {
                 return Err(Failure::Malformed);
             };
-            let must_end_with_event = self.is_started
+            let must_end_with_event = resumes
                 || response.framing == Framing::Close
                 || response.media_type().eq_ignore_ascii_case(EVENT_STREAM);
             decoder.decode(&mut connection.input, body).map_err(|_| Failure::Malformed)?;
