Reset the connection of an HTTP/1.0 caller whose stream is cut

A caller in HTTP/1.0 took a stream that broke off for complete.

Cause: its stream has neither a length nor chunks and ends with the connection, and the gateway closed that in order.

Fix: the connection is closed with a reset, which no caller takes for the end of a body. Callers in HTTP/1.1 see it by the missing last chunk, as before.

--- a/crates/mgw-gateway/src/connection.rs
+++ b/crates/mgw-gateway/src/connection.rs
@@ -160,6 +160,12 @@
         }
     }
 
+    /// Makes the connection end with a reset when it is dropped, so that the peer does not take a
+    /// body without framing for complete. Errors are ignored, as a closed connection has no peer.
+    pub fn reset_on_drop(&self) {
+        let _ = self.stream.set_zero_linger();
+    }
+
     /// Shuts down the sending side, then reads and discards input until the peer closes or `limit`
     /// ends. Closing at once could reset the connection while the peer is still sending, and the
     /// peer would lose the last response.
--- a/crates/mgw-gateway/src/forward/response.rs
+++ b/crates/mgw-gateway/src/forward/response.rs
@@ -188,7 +188,8 @@
     }
 
     /// Ends a request after its last attempt has failed: with an error response that a server gave
-    /// earlier, by closing a connection on which a stream has begun, or with a local reply.
+    /// earlier, by closing a connection on which a stream has begun, or with a local reply. An
+    /// HTTP/1.0 caller, whose stream has no framing, sees by a reset that it is incomplete.
     pub(super) async fn fail(&mut self, caller: &mut Connection, cause: Cause) -> Persistence {
         if let Some(answer) = self.fallback.take() {
             return self.send_answer(caller, answer).await;
@@ -196,6 +197,9 @@
         if self.is_started {
             self.record_event(EventKind::RequestBroken, cause.name());
             self.gateway.count("requests", "cut");
+            if !self.request.is_http_11 {
+                caller.reset_on_drop();
+            }
             return Persistence::Close;
         }
         let kind = match self.may_have_run {
