Do not take an empty response without framing for complete

Cause: such a body ends with its connection, and nothing showed that none of it had been sent. Streams were fixed before, other responses were not.

Evidence: unframed_responses_are_complete_or_failed failed with an empty 200 in one of 4 variants; closed after the body, reset in it and reset before it held.

Fix: a success that ends with its connection before its first byte has been broken off. A server that has nothing to send states a length of 0 or 204.

--- a/crates/mgw-gateway/src/forward/attempt.rs
+++ b/crates/mgw-gateway/src/forward/attempt.rs
@@ -348,7 +348,8 @@
         self.wait(caller, connection.read()).await
     }
 
-    /// Reads the whole body of a response that is not a stream.
+    /// Reads the whole body of a response that is not a stream. A success that ends with its
+    /// connection before its first byte has been broken off.
     async fn read_body(
         &mut self,
         caller: &mut Connection,
@@ -356,7 +357,7 @@
     ) -> Result<Outcome, Failure> {
         loop {
             let connection = &mut exchange.connection;
-            let Stage::Body { decoder, body, reservation, .. } = &mut exchange.stage else {
+            let Stage::Body { response, decoder, body, reservation } = &mut exchange.stage else {
                 return Err(Failure::Malformed);
             };
             decoder.decode(&mut connection.input, body).map_err(|_| Failure::Malformed)?;
@@ -371,6 +372,9 @@
                 break;
             }
             match self.read_from(caller, connection).await? {
+                Ok(0) if body.is_empty() && response.is_success() => {
+                    return Err(Failure::ConnectionLost);
+                }
                 Ok(0) => decoder.finish().map_err(|_| Failure::ConnectionLost)?,
                 Ok(_) => {}
                 Err(_) => return Err(Failure::ConnectionLost),
