Send no body in the response to a HEAD request

The bytes after a response to a HEAD request, or after a 204 on a route for streams, were taken by the caller for the head of the response to its next request; a HEAD on such a route waited until its deadline.

Cause: local replies were written with their body whatever the method, and every success on a route for streams was relayed as a stream, with the framing that the head states and a last chunk.

HEAD on routes without streams held for successes.

Fix: local replies to HEAD have a head only, and neither a response to HEAD nor a 204 is a stream. A success passes on the length that the server states, in place of 0. The connection to the server is not kept after HEAD: if the response came once more, the next one would be taken for its body.

The fields of a local reply are now a type, as the flag would have been its sixth parameter, and `reject` takes the request, if it could be read.

--- a/crates/mgw-gateway/src/callers.rs
+++ b/crates/mgw-gateway/src/callers.rs
@@ -74,7 +74,7 @@
             Ok(request) => request,
             Err(ReadError::Closed) => return,
             Err(ReadError::Reply(cause)) => {
-                forward::reject(gateway, &mut connection, cause, "", true).await;
+                forward::reject(gateway, &mut connection, cause, None, true).await;
                 return connection.linger(LINGER_TIMEOUT).await;
             }
         };
@@ -85,8 +85,7 @@
             Ok(body) => body,
             Err(ReadError::Closed) => return,
             Err(ReadError::Reply(cause)) => {
-                let attempt = platform::header::parse_request_metadata(&request.fields).attempt_id;
-                forward::reject(gateway, &mut connection, cause, &attempt, true).await;
+                forward::reject(gateway, &mut connection, cause, Some(&request), true).await;
                 return connection.linger(LINGER_TIMEOUT).await;
             }
         };
--- a/crates/mgw-gateway/src/forward.rs
+++ b/crates/mgw-gateway/src/forward.rs
@@ -33,7 +33,7 @@
 use crate::forward::target::Target;
 use crate::gateway::Gateway;
 use crate::in_flight::{Alarm, RequestKey};
-use crate::reply::{self, Cause};
+use crate::reply::{Cause, Reply};
 
 /// Number of failed connections after which a request fails. Failed connections do not count as
 /// attempts and need no retry budget.
@@ -157,25 +157,27 @@
     is_last: bool,
 ) -> Persistence {
     let metadata = header::parse_request_metadata(&request.fields);
-    let attempt = metadata.attempt_id.clone();
     match admit::admit(gateway, request, body, metadata, arrived, is_last) {
         Ok(mut active) => {
             let persistence = active.run(connection).await;
             gateway.with(|state| state.requests.remove(active.request_key));
             persistence
         }
-        Err(cause) => reject(gateway, connection, cause, &attempt, is_last).await,
+        Err(cause) => reject(gateway, connection, cause, Some(request), is_last).await,
     }
 }
 
 /// Sends the local reply for a request that is not admitted or could not be read, and counts it.
+/// `request` is its head, if that could be read.
 pub async fn reject(
     gateway: &Gateway,
     connection: &mut Connection,
     cause: Cause,
-    attempt: &str,
+    request: Option<&Request>,
     is_last: bool,
 ) -> Persistence {
+    let attempt = request.map(|it| header::parse_request_metadata(&it.fields).attempt_id);
+    let attempt = attempt.as_deref().unwrap_or_default();
     let spread = gateway.with(|state| {
         state.metrics.count("refused", cause.name());
         let text = format!("{} {}", cause.status(), cause.name());
@@ -184,7 +186,8 @@
         state.rng.random::<f64>()
     });
     let mut output = BytesMut::new();
-    reply::write(&mut output, cause, attempt, spread, is_last);
+    let has_body = !request.is_some_and(Request::is_head);
+    Reply { cause, attempt, spread, is_last, has_body }.write(&mut output);
     match connection.write(&output).await {
         Ok(()) if !is_last => Persistence::KeepAlive,
         // An error means that the caller's connection is broken.
--- a/crates/mgw-gateway/src/forward/attempt.rs
+++ b/crates/mgw-gateway/src/forward/attempt.rs
@@ -96,7 +96,9 @@
         self.set_wait(Some(target.id), Wait::Response, self.response_timeout());
         let output = self.encode_request(target, now);
         let is_fully_sent = self.send_request(caller, &mut connection, &output).await?;
-        Ok(Exchange::new(target.clone(), connection, is_fully_sent))
+        // A HEAD response that is sent once more could be taken for the head of the next one.
+        let allows_reuse = is_fully_sent && !self.request.is_head();
+        Ok(Exchange::new(target.clone(), connection, allows_reuse))
     }
 
     /// Time without the head of a response after which the request may move to another server.
@@ -175,9 +177,9 @@
                 return Err(Failure::NotResumed { status: response.status });
             }
             false => {
-                let framing = match self.request.method() {
-                    "HEAD" => Framing::Length(0),
-                    _ => response.framing,
+                let framing = match self.request.is_head() {
+                    true => Framing::Length(0),
+                    false => response.framing,
                 };
                 let decoder = Decoder::new(framing);
                 let reservation = self.gateway.response_bodies.reserve();
@@ -187,12 +189,16 @@
         Ok(())
     }
 
-    /// Whether a response is a stream for the caller. One that resumes a stream must be of the same
-    /// kind as the first one, whose head the caller has.
+    /// Whether a response is a stream for the caller. One without a body is not. One that resumes a
+    /// stream must be of the same kind as the first one, whose head the caller has.
     fn is_stream(&self, response: &Response) -> bool {
         let is_same_kind =
             response.status == 200 && response.media_type().eq_ignore_ascii_case(&self.media_type);
-        self.route().kind.is_stream() && response.is_success() && (!self.is_started || is_same_kind)
+        self.route().kind.is_stream()
+            && response.is_success()
+            && response.status != 204
+            && !self.request.is_head()
+            && (!self.is_started || is_same_kind)
     }
 
     /// Takes an idle connection to `target` from the pool or opens a new one. The response to a
--- a/crates/mgw-gateway/src/forward/exchange.rs
+++ b/crates/mgw-gateway/src/forward/exchange.rs
@@ -49,8 +49,9 @@
 pub(super) struct Exchange {
     pub(super) target: Target,
     pub(super) connection: Connection,
-    /// Whether the server took the whole request.
-    pub(super) is_fully_sent: bool,
+    /// Whether the connection may be reused after the response: the server took the whole request,
+    /// and the response has its own body.
+    pub(super) allows_reuse: bool,
     pub(super) stage: Stage,
     pub(super) reuse: Reuse,
     /// Progress up to the suspension. Used while another server is tried.
@@ -64,11 +65,11 @@
 
 impl Exchange {
     /// A request whose response has not begun.
-    pub(super) fn new(target: Target, connection: Connection, is_fully_sent: bool) -> Self {
+    pub(super) fn new(target: Target, connection: Connection, allows_reuse: bool) -> Self {
         Self {
             target,
             connection,
-            is_fully_sent,
+            allows_reuse,
             stage: Stage::Head,
             reuse: Reuse::Never,
             progress: Progress::default(),
@@ -81,7 +82,7 @@
     pub(super) fn finish(&mut self, response: &Response) {
         let is_identified = header::parse_response_metadata(response).attempt_id.is_some();
         let is_idle = response.keeps_alive() && self.connection.input.is_empty();
-        if self.is_fully_sent && is_identified && is_idle {
+        if self.allows_reuse && is_identified && is_idle {
             self.reuse = Reuse::Idle { timeout: pool::keep_alive_timeout(response) };
         }
     }
--- a/crates/mgw-gateway/src/forward/response.rs
+++ b/crates/mgw-gateway/src/forward/response.rs
@@ -15,7 +15,7 @@
 use crate::exchange::{Answer, Failure, Outcome};
 use crate::forward::exchange::{Exchange, Stage};
 use crate::forward::{ActiveRequest, Persistence};
-use crate::reply::{self, Cause};
+use crate::reply::{Cause, Reply};
 
 /// Media type of a stream of server-sent events.
 const EVENT_STREAM: &str = "text/event-stream";
@@ -174,7 +174,12 @@
     ) -> Persistence {
         let Answer { head, body, reservation: _reservation } = answer;
         let mut output = BytesMut::with_capacity(512 + body.len());
-        self.write_head(&mut output, &head, Some(body.len()));
+        let length = match head.framing {
+            Framing::Length(length) if self.request.is_head() => Some(length as usize),
+            Framing::Chunked | Framing::Close if self.request.is_head() => None,
+            _ => Some(body.len()),
+        };
+        self.write_head(&mut output, &head, length);
         output.extend_from_slice(&body);
         self.is_started = true;
         self.first_event = Some(clock::now());
@@ -212,13 +217,14 @@
             state.rng.random::<f64>()
         });
         let mut output = BytesMut::new();
-        reply::write(
-            &mut output,
+        let reply = Reply {
             cause,
-            &self.metadata.attempt_id,
+            attempt: &self.metadata.attempt_id,
             spread,
-            self.persistence() == Persistence::Close,
-        );
+            is_last: self.persistence() == Persistence::Close,
+            has_body: !self.request.is_head(),
+        };
+        reply.write(&mut output);
         match self.write_to_caller(caller, &output).await {
             Ok(()) => self.persistence(),
             Err(_) => Persistence::Close,
--- a/crates/mgw-gateway/src/reply.rs
+++ b/crates/mgw-gateway/src/reply.rs
@@ -120,22 +120,43 @@
     }
 }
 
-/// Appends a reply to `output`. `spread`, a random number from 0 to 1, varies `Retry-After` by 30%
-/// in both directions, so that callers that are refused together do not all retry at the same time.
-pub fn write(output: &mut BytesMut, cause: Cause, attempt: &str, spread: f64, is_last: bool) {
-    write::status_line(output, cause.status());
-    if !attempt.is_empty() {
-        write::field(output, platform::header::ATTEMPT_ID.as_bytes(), attempt.as_bytes());
-    }
-    if let Some(span) = cause.retry_after() {
-        let seconds = format!("{:.2}", span.as_secs_f64() * (0.7 + 0.6 * spread));
-        write::field(output, b"Retry-After", seconds.as_bytes());
-    }
-    if is_last {
-        write::field(output, b"Connection", b"close");
+/// A local reply.
+#[derive(Clone, Copy, Debug)]
+pub struct Reply<'a> {
+    /// Why the request gets it.
+    pub cause: Cause,
+    /// Id of the caller's attempt; empty if the caller states none.
+    pub attempt: &'a str,
+    /// A random number from 0 to 1 that varies `Retry-After` by 30% in both directions, so that
+    /// callers that are refused together do not all retry at the same time.
+    pub spread: f64,
+    /// Whether the caller's connection ends with it.
+    pub is_last: bool,
+    /// Whether the body is sent; not in the response to a HEAD request.
+    pub has_body: bool,
+}
+
+impl Reply<'_> {
+    /// Appends the reply to `output`.
+    pub fn write(&self, output: &mut BytesMut) {
+        write::status_line(output, self.cause.status());
+        if !self.attempt.is_empty() {
+            let name = platform::header::ATTEMPT_ID.as_bytes();
+            write::field(output, name, self.attempt.as_bytes());
+        }
+        if let Some(span) = self.cause.retry_after() {
+            let seconds = format!("{:.2}", span.as_secs_f64() * (0.7 + 0.6 * self.spread));
+            write::field(output, b"Retry-After", seconds.as_bytes());
+        }
+        if self.is_last {
+            write::field(output, b"Connection", b"close");
+        }
+        let body = self.cause.name().as_bytes();
+        write::field(output, b"Content-Type", b"text/plain");
+        write::number_field(output, "Content-Length", body.len() as u64);
+        output.extend_from_slice(b"\r\n");
+        if self.has_body {
+            output.extend_from_slice(body);
+        }
     }
-    write::field(output, b"Content-Type", b"text/plain");
-    write::number_field(output, "Content-Length", cause.name().len() as u64);
-    output.extend_from_slice(b"\r\n");
-    output.extend_from_slice(cause.name().as_bytes());
 }
--- a/crates/mgw-http/src/head.rs
+++ b/crates/mgw-http/src/head.rs
@@ -132,6 +132,11 @@
         std::str::from_utf8(self.method.get(&self.fields.bytes)).unwrap_or("")
     }
 
+    /// Returns true if the response to this request has no body, whatever its head states.
+    pub fn is_head(&self) -> bool {
+        self.method() == "HEAD"
+    }
+
     /// Returns the request target as sent, usually path and query.
     pub fn target(&self) -> &str {
         std::str::from_utf8(self.target.get(&self.fields.bytes)).unwrap_or("")
