--- a/crates/mgw-event/src/kind.rs
+++ b/crates/mgw-event/src/kind.rs
@@ -176,7 +176,7 @@
     RequestResumed = 504 "request_resumed" Info [Request Group Team Text] "A stream continues after a lost connection; the text gives the tokens received.";
     RequestCompleted = 505 "request_completed" Debug [Request Group Instance Team] "A request was answered in full.";
     RequestBroken = 506 "request_broken" Warn [Request Group Instance Team Text] "A request ended with an error after dispatch.";
-    AnswerDiscarded = 507 "answer_discarded" Warn [Request Group Instance Text] "A response names another request and was discarded.";
+    AnswerDiscarded = 507 "answer_discarded" Warn [Request Group Instance Text] "A response names another request, or none on a reused connection, and was discarded.";
     RetryBudgetSpent = 508 "retry_budget_spent" Info [Request Team] "A request was not retried because the retry budget is exhausted.";
     RequestReturned = 509 "request_returned" Info [Request Instance Team Text] "A request waits again for a server that had stalled: it goes on, or no other server is left.";
 
