--- a/crates/mgw-gateway/src/forward.rs
+++ b/crates/mgw-gateway/src/forward.rs
@@ -318,8 +318,8 @@
         std::mem::take(&mut self.has_retry_permit) || self.draw_retry(now)
     }
 
-    /// Whether the request may be sent again although it may have run. A stream that has begun needs
-    /// an id after which it goes on.
+    /// Whether the request may be sent again although it may have run. A stream that has begun
+    /// needs an id after which it goes on.
     fn is_repeatable(&self) -> bool {
         let has_position = !self.is_started || self.splitter.last_id().is_some();
         has_position && self.route().kind.is_repeatable()
--- a/crates/mgw-http/src/head.rs
+++ b/crates/mgw-http/src/head.rs
@@ -188,8 +188,8 @@
     const VERSION: &[u8] = b"HTTP/1.";
     memchr::memmem::find_iter(text, VERSION).any(|start| {
         let rest = &text[start + VERSION.len()..];
-        matches!(rest, [minor, b' ', code @ ..]
-            if minor.is_ascii_digit() && code.len() >= 3 && code[..3].iter().all(u8::is_ascii_digit))
+        matches!(rest, [minor, b' ', a, b, c, ..]
+            if [minor, a, b, c].iter().all(|it| it.is_ascii_digit()))
     })
 }
 
--- a/crates/mgw-http/src/sse.rs
+++ b/crates/mgw-http/src/sse.rs
@@ -43,8 +43,8 @@
         }
     }
 
-    /// Returns true if an event with this `id` may be the next one. The first one with data from the
-    /// server that resumes the stream must have an id after that of the last event.
+    /// Returns true if an event with this `id` may be the next one. The first one with data from
+    /// the server that resumes the stream must have an id after that of the last event.
     fn is_next(&self, id: Option<u64>, event: &[u8]) -> bool {
         match (self.resumes_after, id) {
             (None, _) => true,
