--- a/crates/mgw-gateway/src/forward.rs
+++ b/crates/mgw-gateway/src/forward.rs
@@ -4,8 +4,10 @@
 mod admit;
 mod attempt;
 mod exchange;
+mod receive;
 mod record;
 mod response;
+mod suspend;
 mod target;
 
 use std::rc::Rc;
