Let any server that has a request answer it

- A stream that had not begun got the error of the second server although the first one was only silent.
- A begun stream was held until its deadline although its server had left the list.

Cause: the exchanges were not treated alike; the newest one was followed, and the others were only a way back. Now each of them keeps what it has read (a skipped body, too), whichever sends something is followed and the others stay suspended until something is passed on to the caller, and progress clears the time limit. The loss of a suspended connection is checked for a crash, as any other.

--- a/crates/mgw-gateway/src/forward.rs
+++ b/crates/mgw-gateway/src/forward.rs
@@ -72,6 +72,15 @@
     Suspended,
 }
 
+/// What a request that has sent waits for.
+enum Either<T> {
+    /// The work at its present server is done.
+    Done(T),
+    /// The server of the suspended exchange with this index has sent something or closed its
+    /// connection.
+    Readable(usize),
+}
+
 /// What an attempt is made at.
 enum Source {
     /// A server that gets the request.
@@ -128,11 +137,12 @@
     first_event: Option<Instant>,
     /// Progress of the server of the present attempt.
     progress: Progress,
-    /// Exchanges with servers that have stalled, while another one is tried. They end with the first
-    /// answer that is passed on.
+    /// Exchanges with other servers that may still answer. They end once something of an answer is
+    /// passed on.
     suspended: Vec<Exchange>,
-    /// Until when the server of the present attempt, which had stalled, is waited for; `None` if
-    /// there is no such limit.
+    /// The suspended exchange whose server goes on, until the request returns to it.
+    going_on: Option<Exchange>,
+    /// [`Exchange::given_up_at`] of the present exchange.
     given_up_at: Option<Instant>,
     /// When events were last passed on, and the longest time between two such times.
     event_gap: (Option<Instant>, Duration),
@@ -226,9 +236,6 @@
                     return self.persistence();
                 }
                 Ok(Outcome::Answer(answer)) => {
-                    let is_worth_retry = answer.head.status >= 500
-                        && answer.head.status != 504
-                        && self.route().kind == Kind::Idempotent;
                     self.may_have_run = true;
                     // The server does not state that it has not run the request, but the caller
                     // would take its status for that.
@@ -237,9 +244,10 @@
                     {
                         return self.fail(caller, Cause::ServerFailed).await;
                     }
-                    let retry =
-                        is_worth_retry.then(|| self.next_after(Failure::ConnectionLost)).flatten();
-                    let Some(retry) = retry else { return self.send_answer(caller, answer).await };
+                    let Some(retry) = self.next_after_answer(answer.head.status) else {
+                        self.end_suspended();
+                        return self.send_answer(caller, answer).await;
+                    };
                     self.fallback = Some(answer);
                     retry
                 }
@@ -285,12 +293,28 @@
     fn next_after(&mut self, failure: Failure) -> Option<Next> {
         match failure {
             Failure::Superseded => Some(Next::Suspended),
+            _ if failure.is_server_failure() && self.has_live_alternative() => {
+                Some(Next::Suspended)
+            }
             _ if self.prepare_retry(failure) => Some(Next::Target),
             _ if failure.is_server_failure() && !self.suspended.is_empty() => Some(Next::Suspended),
             _ => None,
         }
     }
 
+    /// What to do after an answer with `status`; `None` if the caller gets it.
+    fn next_after_answer(&mut self, status: u16) -> Option<Next> {
+        match status {
+            500..=503 | 505.. if !self.suspended.is_empty() => {
+                self.next_after(Failure::ConnectionLost)
+            }
+            500..=503 | 505.. if self.route().kind == Kind::Idempotent => {
+                self.next_after(Failure::ConnectionLost)
+            }
+            _ => None,
+        }
+    }
+
     /// The cause in the local reply after the failure of the last attempt.
     fn failure_cause(&self, failure: Failure) -> Cause {
         match failure {
@@ -353,8 +377,7 @@
         drawn.is_ok()
     }
 
-    /// Waits for `work`. Fails if the caller disconnects first, if a server that had stalled goes on,
-    /// or if an alarm means a failure.
+    /// Waits for `work`. Fails if the caller disconnects first, or if an alarm means a failure.
     async fn wait<T, F>(&mut self, caller: &mut Connection, work: F) -> Result<T, Failure>
     where
         F: Future<Output = T>,
@@ -367,11 +390,6 @@
                 // Comes first, as a server that sends without a pause always has a result.
                 () = caller.closed() => return Err(Failure::CallerGone),
                 result = &mut work => return Ok(result),
-                index = exchange::readable(&self.suspended) => {
-                    if self.goes_on(index) {
-                        return Err(Failure::Superseded);
-                    }
-                }
                 () = wake.notified() => {
                     if let Some(failure) = self.take_failure() {
                         return Err(failure);
@@ -381,6 +399,32 @@
         }
     }
 
+    /// Waits for `work` as [`Self::wait`], but also fails if the server of a suspended exchange goes
+    /// on.
+    async fn wait_or_switch<T, F>(&mut self, caller: &mut Connection, work: F) -> Result<T, Failure>
+    where
+        F: Future<Output = T>,
+    {
+        tokio::pin!(work);
+        loop {
+            let suspended = std::mem::take(&mut self.suspended);
+            let either = async {
+                tokio::select! {
+                    biased;
+                    result = &mut work => Either::Done(result),
+                    index = exchange::readable(&suspended) => Either::Readable(index),
+                }
+            };
+            let waited = self.wait(caller, either).await;
+            self.suspended = suspended;
+            match waited? {
+                Either::Done(result) => return Ok(result),
+                Either::Readable(index) if self.goes_on(index) => return Err(Failure::Superseded),
+                Either::Readable(_) => {}
+            }
+        }
+    }
+
     /// Takes the pending alarm and returns the failure that it means, if any. A request at a
     /// stalled target goes on waiting there unless a retry is allowed, another target is available
     /// and the retry budget permits it.
@@ -400,7 +444,10 @@
                     && self.choose_target().is_ok()
                     && self.draw_retry(now);
                 self.has_retry_permit = may_move;
-                let is_given_up = self.given_up_at.is_some_and(|at| now >= at);
+                let is_given_up = self
+                    .target
+                    .as_ref()
+                    .is_some_and(|it| self.is_given_up(it.id, self.given_up_at));
                 (may_move || is_given_up).then_some(Failure::Stalled)
             }
         }
--- a/crates/mgw-gateway/src/forward/admit.rs
+++ b/crates/mgw-gateway/src/forward/admit.rs
@@ -125,6 +125,7 @@
         first_event: None,
         progress: Progress::default(),
         suspended: Vec::new(),
+        going_on: None,
         given_up_at: None,
         event_gap: (None, Duration::ZERO),
         fingerprint,
--- a/crates/mgw-gateway/src/forward/attempt.rs
+++ b/crates/mgw-gateway/src/forward/attempt.rs
@@ -66,7 +66,7 @@
         if self.attempts == 1 {
             self.gateway.with(|state| state.retry_budgets.count_request(&self.service, now));
         }
-        self.set_wait(Some(target.id), Wait::Response, self.response_timeout());
+        self.wait_for_response(target.id);
         let output = self.encode_request(target, now);
         let is_fully_sent = self.send_request(caller, &mut connection, &output).await?;
         // A HEAD response that is sent once more could be taken for the head of the next one.
@@ -74,8 +74,13 @@
         Ok(Exchange::new(target.clone(), connection, allows_reuse))
     }
 
+    /// Waits for the response of a server, or for more of it, from now on.
+    pub(super) fn wait_for_response(&self, target: ServerKey) {
+        self.set_wait(Some(target), Wait::Response, self.response_timeout());
+    }
+
     /// Time without the head of a response after which the request may move to another server.
-    pub(super) fn response_timeout(&self) -> Duration {
+    fn response_timeout(&self) -> Duration {
         match self.route().kind {
             Kind::AtMostOnce | Kind::Stream => NO_TIMEOUT,
             Kind::Idempotent => {
@@ -85,8 +90,8 @@
         }
     }
 
-    /// Reads or relays the rest of the response. If the server has stalled, the exchange is kept, as
-    /// the server may go on before another one answers.
+    /// Reads or relays the rest of the response. If the server has stalled, or an earlier one goes on,
+    /// the exchange is suspended: any of them may be the first to answer.
     pub(super) async fn follow(
         &mut self,
         caller: &mut Connection,
@@ -95,7 +100,8 @@
         let result = self.receive(caller, &mut exchange).await;
         self.set_wait(None, Wait::Nothing, NO_TIMEOUT);
         match result {
-            Err(Failure::Stalled) => self.suspend(exchange),
+            Err(Failure::Stalled) => self.suspend(exchange, true),
+            Err(Failure::Superseded) => self.suspend(exchange, false),
             _ => self.end(exchange),
         }
         result
--- a/crates/mgw-gateway/src/forward/exchange.rs
+++ b/crates/mgw-gateway/src/forward/exchange.rs
@@ -6,7 +6,7 @@
 
 use bytes::BytesMut;
 use mgw_base::time::Instant;
-use mgw_http::body::Decoder;
+use mgw_http::body::{Decoder, Framing};
 use mgw_http::head::Response;
 use platform::header;
 
@@ -20,6 +20,8 @@
 pub(super) enum Stage {
     /// Nothing, or only a part of its head.
     Head,
+    /// The head of a response to another request, whose body is skipped.
+    Foreign { decoder: Decoder, skipped: BytesMut },
     /// The head of a stream that is relayed.
     Stream { response: Response, decoder: Decoder, body: BytesMut },
     /// The head of a response that is read as a whole.
@@ -54,12 +56,14 @@
     pub(super) allows_reuse: bool,
     pub(super) stage: Stage,
     pub(super) reuse: Reuse,
-    /// Progress up to the suspension. Used while another server is tried.
+    /// Number of responses to other requests so far.
+    pub(super) foreign_responses: usize,
+    /// Progress up to the suspension.
     pub(super) progress: Progress,
-    /// The incomplete event at the end of the stream so far. Used while another server is tried.
+    /// The incomplete event at the end of the stream up to the suspension.
     pub(super) partial: BytesMut,
-    /// Until when a silent server is waited for once no other one is left, if it has not begun to
-    /// answer; `None` before the first stall.
+    /// Until when the server is waited for once no other one is left, if it has not begun to answer;
+    /// `None` if it has not stalled since it last sent something.
     pub(super) given_up_at: Option<Instant>,
 }
 
@@ -72,12 +76,23 @@
             allows_reuse,
             stage: Stage::Head,
             reuse: Reuse::Never,
+            foreign_responses: 0,
             progress: Progress::default(),
             partial: BytesMut::new(),
             given_up_at: None,
         }
     }
 
+    /// Whether the end of the connection is that of the response.
+    pub(super) fn ends_with_connection(&self) -> bool {
+        match &self.stage {
+            Stage::Stream { response, .. } | Stage::Body { response, .. } => {
+                response.framing == Framing::Close
+            }
+            Stage::Head | Stage::Foreign { .. } => false,
+        }
+    }
+
     /// Records that `response` has been read to its end.
     pub(super) fn finish(&mut self, response: &Response) {
         let is_identified = header::parse_response_metadata(response).attempt_id.is_some();
--- a/crates/mgw-gateway/src/forward/receive.rs
+++ b/crates/mgw-gateway/src/forward/receive.rs
@@ -36,30 +36,35 @@
 const MAX_INTERIM_RESPONSES: usize = 8;
 
 impl ActiveRequest<'_> {
-    /// Reads the head of the response, unless it has been read, and then its body.
+    /// Reads what is left of the response, after those to other requests.
     pub(super) async fn receive(
         &mut self,
         caller: &mut Connection,
         exchange: &mut Exchange,
     ) -> Result<Outcome, Failure> {
-        if matches!(exchange.stage, Stage::Head) {
-            self.receive_head(caller, exchange).await?;
-        }
-        match exchange.stage {
-            Stage::Head | Stage::Body { .. } => self.read_body(caller, exchange).await,
-            Stage::Stream { .. } => self.relay_stream(caller, exchange).await,
+        loop {
+            match exchange.stage {
+                Stage::Head => self.receive_head(caller, exchange).await?,
+                Stage::Foreign { .. } => self.skip_body(caller, exchange).await?,
+                Stage::Body { .. } => return self.read_body(caller, exchange).await,
+                Stage::Stream { .. } => return self.relay_stream(caller, exchange).await,
+            }
         }
     }
 
-    /// Reads the head of the response and reports the result to the load of the target.
+    /// Reads the head of the next response. If it is the one to this request, reports the result to
+    /// the load of the target.
     async fn receive_head(
         &mut self,
         caller: &mut Connection,
         exchange: &mut Exchange,
     ) -> Result<(), Failure> {
         let target = exchange.target.id;
-        let (response, response_metadata) =
-            self.read_head(caller, &mut exchange.connection).await?;
+        let response = self.read_head(caller, &mut exchange.connection).await?;
+        let response_metadata = header::parse_response_metadata(&response);
+        if !self.is_own(&response, &response_metadata, exchange.connection.is_reused)? {
+            return begin_skip(exchange, &response);
+        }
         self.gateway.with(|state| {
             let now = clock::now();
             limit::record(state, target, &response, &response_metadata);
@@ -109,45 +114,35 @@
             && (!self.is_started || is_same_kind)
     }
 
-    /// Reads the head of the response to this request. Responses that name another attempt are
-    /// skipped, as are interim (1xx) ones, up to a limit of each.
+    /// Whether a response is the one to this request. Others, which name another attempt, are
+    /// skipped, up to a limit.
     ///
     /// A response without an attempt id is taken for that of this request only if no other one can
     /// arrive on the connection; otherwise it is skipped. After such a refusal, a request that may
     /// be repeated fails, so that it is sent to another server, and any other one waits.
-    pub(super) async fn read_head(
-        &mut self,
-        caller: &mut Connection,
-        connection: &mut Connection,
-    ) -> Result<(Response, header::ResponseMetadata), Failure> {
-        for _ in 0..=MAX_FOREIGN_RESPONSES {
-            let response = self.read_next_head(caller, connection).await?;
-            let response_metadata = header::parse_response_metadata(&response);
-            let status = response.status;
-            let text = match &response_metadata.attempt_id {
-                Some(attempt) if *attempt != self.metadata.attempt_id => {
-                    format!("response to attempt {attempt}, status {status}")
-                }
-                None if connection.is_reused
-                    && response_metadata.is_not_executed
-                    && self.route().kind.is_repeatable() =>
-                {
-                    return Err(Failure::UnidentifiedRefusal { status });
-                }
-                None if connection.is_reused => {
-                    format!("response without an attempt id, status {status}")
-                }
-                Some(_) | None => return Ok((response, response_metadata)),
-            };
-            self.record_event(EventKind::AnswerDiscarded, &text);
-            self.skip_body(caller, connection, response.framing).await?;
-            connection.is_reused = true;
-        }
-        Err(Failure::Malformed)
+    fn is_own(
+        &self,
+        response: &Response,
+        metadata: &header::ResponseMetadata,
+        is_reused: bool,
+    ) -> Result<bool, Failure> {
+        let status = response.status;
+        let text = match &metadata.attempt_id {
+            Some(attempt) if *attempt != self.metadata.attempt_id => {
+                format!("response to attempt {attempt}, status {status}")
+            }
+            None if is_reused && metadata.is_not_executed && self.is_repeatable() => {
+                return Err(Failure::UnidentifiedRefusal { status });
+            }
+            None if is_reused => format!("response without an attempt id, status {status}"),
+            Some(_) | None => return Ok(true),
+        };
+        self.record_event(EventKind::AnswerDiscarded, &text);
+        Ok(false)
     }
 
     /// Reads the head of the next response that is not an interim one.
-    async fn read_next_head(
+    async fn read_head(
         &mut self,
         caller: &mut Connection,
         connection: &mut Connection,
@@ -167,17 +162,14 @@
     async fn skip_body(
         &mut self,
         caller: &mut Connection,
-        connection: &mut Connection,
-        framing: Framing,
+        exchange: &mut Exchange,
     ) -> Result<(), Failure> {
-        // Nothing can follow a body that ends with the connection.
-        if framing == Framing::Close {
-            return Err(Failure::Malformed);
-        }
-        let (mut decoder, mut skipped) = (Decoder::new(framing), BytesMut::new());
         loop {
-            decoder.decode(&mut connection.input, &mut skipped).map_err(|_| Failure::Malformed)?;
+            let connection = &mut exchange.connection;
+            let Stage::Foreign { decoder, skipped } = &mut exchange.stage else { return Ok(()) };
+            decoder.decode(&mut connection.input, skipped).map_err(|_| Failure::Malformed)?;
             if decoder.is_done() {
+                exchange.stage = Stage::Head;
                 return Ok(());
             }
             if skipped.len() > MAX_FOREIGN_BODY_BYTES {
@@ -209,7 +201,11 @@
         if clock::now() >= self.deadline {
             return Err(Failure::Deadline);
         }
-        self.wait(caller, connection.read()).await
+        let read = self.wait_or_switch(caller, connection.read()).await?;
+        if matches!(read, Ok(size) if size > 0) {
+            self.given_up_at = None;
+        }
+        Ok(read)
     }
 
     /// Reads the whole body of a response that is not a stream. A success that ends with its
@@ -219,6 +215,7 @@
         caller: &mut Connection,
         exchange: &mut Exchange,
     ) -> Result<Outcome, Failure> {
+        let target = exchange.target.id;
         loop {
             let connection = &mut exchange.connection;
             let Stage::Body { response, decoder, body, reservation } = &mut exchange.stage else {
@@ -240,7 +237,7 @@
                     return Err(Failure::ConnectionLost);
                 }
                 Ok(0) => decoder.finish().map_err(|_| Failure::ConnectionLost)?,
-                Ok(_) => {}
+                Ok(_) => self.wait_for_response(target),
                 Err(_) => return Err(Failure::ConnectionLost),
             }
         }
@@ -252,11 +249,29 @@
                 exchange.finish(&response);
                 Ok(Outcome::Answer(Answer { head: response, body, reservation }))
             }
-            Stage::Head | Stage::Stream { .. } => Err(Failure::Malformed),
+            Stage::Head | Stage::Foreign { .. } | Stage::Stream { .. } => Err(Failure::Malformed),
         }
     }
 }
 
+/// Begins to skip the body of a response to another request.
+///
+/// # Errors
+///
+/// [`Failure::Malformed`] if there were too many, or if nothing can follow the body, as it ends with
+/// the connection.
+fn begin_skip(exchange: &mut Exchange, response: &Response) -> Result<(), Failure> {
+    let has_too_many = exchange.foreign_responses >= MAX_FOREIGN_RESPONSES;
+    if has_too_many || response.framing == Framing::Close {
+        return Err(Failure::Malformed);
+    }
+    exchange.foreign_responses += 1;
+    exchange.connection.is_reused = true;
+    let decoder = Decoder::new(response.framing);
+    exchange.stage = Stage::Foreign { decoder, skipped: BytesMut::new() };
+    Ok(())
+}
+
 /// Reads the body of a refusal as far as it has arrived. If it is complete, the connection can be
 /// reused.
 fn drain_refusal(exchange: &mut Exchange, response: &Response) {
--- a/crates/mgw-gateway/src/forward/record.rs
+++ b/crates/mgw-gateway/src/forward/record.rs
@@ -12,6 +12,7 @@
 use crate::clock;
 use crate::crash::{self, Disconnect};
 use crate::exchange::Failure;
+use crate::forward::exchange::Progress;
 use crate::forward::{ActiveRequest, NO_TIMEOUT, Next};
 use crate::in_flight::Wait;
 
@@ -34,13 +35,7 @@
             self.refusals += 1;
         }
         if failure == Failure::ConnectionLost && self.has_begun_sending {
-            let disconnect = Disconnect {
-                server: target.id,
-                request: InFlight { fingerprint: self.fingerprint, suspect: self.suspect },
-                attempt_id: self.metadata.attempt_id.clone(),
-                shared_parts: self.shared_parts.clone(),
-                writing_for: self.progress.writing_since.map(|since| now.since(since)),
-            };
+            let disconnect = self.disconnect(target.id, self.progress);
             crash::record_disconnect(self.gateway, target.address, disconnect);
         }
         self.gateway.with(|state| {
@@ -59,6 +54,18 @@
         });
     }
 
+    /// The loss of the connection to `server`, which had made `progress`.
+    pub(super) fn disconnect(&self, server: ServerKey, progress: Progress) -> Disconnect {
+        let now = clock::now();
+        Disconnect {
+            server,
+            request: InFlight { fingerprint: self.fingerprint, suspect: self.suspect },
+            attempt_id: self.metadata.attempt_id.clone(),
+            shared_parts: self.shared_parts.clone(),
+            writing_for: progress.writing_since.map(|since| now.since(since)),
+        }
+    }
+
     /// Records that the request is sent to another server after `failure`.
     pub(super) fn record_retry(&self, next: Next, failure: Failure) {
         let kind = match (next, self.is_started) {
--- a/crates/mgw-gateway/src/forward/suspend.rs
+++ b/crates/mgw-gateway/src/forward/suspend.rs
@@ -1,12 +1,16 @@
-//! Exchanges with servers that have stalled, which are kept while another server is tried.
+//! Exchanges that are kept while another server is tried: with servers that have stalled, and with
+//! those that an earlier server got ahead of.
 
 use std::io;
 use std::time::Duration;
 
+use mgw_base::time::Instant;
 use mgw_event::Kind as EventKind;
+use mgw_fleet::roster::ServerKey;
 
 use crate::clock;
 use crate::connection::Connection;
+use crate::crash;
 use crate::exchange::{Failure, Outcome};
 use crate::forward::ActiveRequest;
 use crate::forward::exchange::Exchange;
@@ -17,23 +21,26 @@
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(1_500);
 
 impl ActiveRequest<'_> {
-    /// Keeps an exchange with a server that has stalled, while another server is tried.
-    pub(super) fn suspend(&mut self, mut exchange: Exchange) {
-        let given_up_at = clock::now() + SILENCE_TIMEOUT;
-        exchange.given_up_at = exchange.given_up_at.or(Some(given_up_at));
+    /// Suspends an exchange; `has_stalled` says whether because its server is silent.
+    pub(super) fn suspend(&mut self, mut exchange: Exchange, has_stalled: bool) {
+        let given_up_at = || clock::now() + SILENCE_TIMEOUT;
+        exchange.given_up_at = self.given_up_at.or_else(|| has_stalled.then(given_up_at));
         exchange.progress = self.progress;
         exchange.partial = self.splitter.take_partial();
         self.suspended.push(exchange);
     }
 
-    /// Takes the newest suspended exchange that is worth waiting for: with a server that has sent
-    /// something, or that has not been silent for too long. A stream that has begun has no other
-    /// way to be completed.
+    /// Takes the suspended exchange to return to: the one whose server goes on, else one whose server
+    /// has not stalled, else the newest one that is worth waiting for.
     pub(super) fn take_suspended(&mut self) -> Option<Exchange> {
-        let now = clock::now();
+        if let Some(exchange) = self.going_on.take() {
+            return Some(exchange);
+        }
+        if let Some(index) = self.suspended.iter().position(|it| it.given_up_at.is_none()) {
+            return Some(self.suspended.remove(index));
+        }
         while let Some(exchange) = self.suspended.pop() {
-            let is_given_up = exchange.given_up_at.is_some_and(|at| now >= at);
-            if self.is_started || !is_given_up || !exchange.connection.input.is_empty() {
+            if !self.is_given_up(exchange.target.id, exchange.given_up_at) {
                 return Some(exchange);
             }
             self.end(exchange);
@@ -41,54 +48,68 @@
         None
     }
 
-    /// Waits again for the response of a server that had stalled.
+    /// Whether a server that is waited for until `given_up_at` is not waited for any longer. A stream
+    /// that has begun has no other way to be completed, so its server is as long as it is listed.
+    pub(super) fn is_given_up(&self, server: ServerKey, given_up_at: Option<Instant>) -> bool {
+        let is_listed = || self.gateway.with(|state| state.roster.get(server).is_some());
+        let is_overdue = given_up_at.is_some_and(|at| clock::now() >= at);
+        is_overdue && !(self.is_started && is_listed())
+    }
+
+    /// Whether a server that has not stalled is suspended, so that the request may return to it.
+    pub(super) fn has_live_alternative(&self) -> bool {
+        self.suspended.iter().any(|it| it.given_up_at.is_none())
+    }
+
+    /// Waits again for the response of a server whose exchange was suspended.
     pub(super) async fn return_to(
         &mut self,
         caller: &mut Connection,
         mut exchange: Exchange,
     ) -> Result<Outcome, Failure> {
-        let now = clock::now();
+        let target = exchange.target.id;
         self.target = Some(exchange.target.clone());
         self.has_begun_sending = true;
         self.progress = exchange.progress;
         let has_begun = self.progress.writing_since.is_some();
         self.splitter.return_to(std::mem::take(&mut exchange.partial), has_begun);
-        self.given_up_at = exchange.given_up_at.filter(|_| !self.is_started);
-        self.record_event(EventKind::RequestReturned, "waits again for a server that had stalled");
-        match (self.progress.writing_since, self.given_up_at) {
-            (Some(_), _) => self.record_progress(exchange.target.id),
-            (None, Some(at)) => {
-                self.set_wait(Some(exchange.target.id), Wait::Response, at.since(now));
-            }
-            (None, None) => {
-                self.set_wait(Some(exchange.target.id), Wait::Response, self.response_timeout());
-            }
+        self.given_up_at = exchange.given_up_at;
+        self.record_event(EventKind::RequestReturned, "waits again for an earlier server");
+        match self.given_up_at {
+            _ if has_begun => self.record_progress(target),
+            Some(at) => self.set_wait(Some(target), Wait::Response, at.since(clock::now())),
+            None => self.wait_for_response(target),
         }
         self.follow(caller, exchange).await
     }
 
-    /// Ends the exchanges with servers that had stalled, as another one has answered.
+    /// Ends the suspended exchanges, as the caller gets the answer of another server.
     pub(super) fn end_suspended(&mut self) {
-        for exchange in std::mem::take(&mut self.suspended) {
+        let exchanges = std::mem::take(&mut self.suspended);
+        for exchange in exchanges.into_iter().chain(self.going_on.take()) {
             self.end(exchange);
         }
     }
 
-    /// Whether the server of the suspended exchange at `index` has sent something. If so, it becomes
-    /// the newest one; if its connection has ended, it is removed.
+    /// Looks at the input of the suspended exchange at `index`. Returns whether its server goes on;
+    /// if its connection has ended instead, the exchange is removed.
     pub(super) fn goes_on(&mut self, index: usize) -> bool {
-        match self.suspended[index].connection.try_read() {
-            Err(error) if error.kind() == io::ErrorKind::WouldBlock => false,
-            Ok(0) | Err(_) => {
-                let exchange = self.suspended.remove(index);
-                self.end(exchange);
-                false
-            }
-            Ok(_) => {
-                let newest = self.suspended.len() - 1;
-                self.suspended.swap(index, newest);
-                true
-            }
+        let exchange = &mut self.suspended[index];
+        let goes_on = match exchange.connection.try_read() {
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => return false,
+            Ok(0) => exchange.ends_with_connection(),
+            Ok(_) => true,
+            Err(_) => false,
+        };
+        let mut exchange = self.suspended.remove(index);
+        if goes_on {
+            exchange.given_up_at = None;
+            self.going_on = Some(exchange);
+        } else {
+            let disconnect = self.disconnect(exchange.target.id, exchange.progress);
+            crash::record_disconnect(self.gateway, exchange.target.address, disconnect);
+            self.end(exchange);
         }
+        goes_on
     }
 }
