Send nothing new to a server that states that it is leaving

A server that leaves says so in all its responses. Callers' requests still reached it for as long as its list entry said ready: an entry that the store refuses would send to it until it ended, and after that get errors.

Cause: the field was not read, so only the list told that a server leaves.

What a response states now holds for the process that sent it, identified by id and start time, whatever the list says: also if the entry is removed and written again, or if the response arrives while it is removed. The process counts as draining for the choice of targets, retries, resumed streams and the planner. Every response counts: refusals, failures, responses to other attempts, to orders and to probes. One with status 421 counts only if it names the server, as another process may have sent it. A request whose new connection is still being established is sent elsewhere, without drawing on the retry budget.

The other entries are not told: no existing message can carry it, and a request that reaches a leaving server from an entry that does not know yet is served.

--- a/crates/mgw-fleet/src/group.rs
+++ b/crates/mgw-fleet/src/group.rs
@@ -21,7 +21,7 @@
     /// All listed members in the order of their ranks, the head first.
     pub members: Vec<ServerKey>,
     /// Whether the group can serve requests: the head is open, all members are listed and none is
-    /// draining.
+    /// draining or leaving.
     pub is_servable: bool,
 }
 
@@ -63,7 +63,7 @@
     members.sort_by_key(|(rank, _, _)| *rank);
     let is_whole = members.len() == engine.models[model].group_size
         && members.iter().enumerate().all(|(place, (rank, _, _))| place == *rank);
-    let none_drains = members.iter().all(|(_, _, member)| member.record.phase == Phase::Ready);
+    let none_drains = members.iter().all(|(_, _, member)| member.phase() == Phase::Ready);
     Some(Group {
         service: service.clone(),
         name: membership.group.clone(),
--- a/crates/mgw-fleet/src/lib.rs
+++ b/crates/mgw-fleet/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod feed;
 pub mod freshness;
 pub mod group;
+pub mod notice;
 pub mod peer_load;
 pub mod plan;
 pub mod rate;
--- a/crates/mgw-fleet/src/plan/form.rs
+++ b/crates/mgw-fleet/src/plan/form.rs
@@ -239,7 +239,7 @@
         servers
             .filter(|server| {
                 server.record.engine.is_some()
-                    && server.record.phase == roster::Phase::Ready
+                    && server.phase() == roster::Phase::Ready
                     && server.missing_since.is_none()
                     && !self.liveness.is_lost(&server.id)
                     && !is_taken(server)
--- a/crates/mgw-fleet/src/plan/group.rs
+++ b/crates/mgw-fleet/src/plan/group.rs
@@ -252,7 +252,7 @@
         let live: Vec<&Server> =
             group.members.iter().filter_map(|member| self.live_server(member, roster)).collect();
         let is_whole = live.len() == model.group_size;
-        let is_draining = live.iter().any(|server| server.record.phase == roster::Phase::Draining);
+        let is_draining = live.iter().any(|server| server.phase() == roster::Phase::Draining);
         let head = group.head().and_then(|member| self.live_server(member, roster));
         let stage = head.and_then(|head| group.member_stage(head));
         let elapsed = now.since(group.phase_since);
--- a/crates/mgw-fleet/src/plan/stage.rs
+++ b/crates/mgw-fleet/src/plan/stage.rs
@@ -158,7 +158,7 @@
         let oversupplied = models.last().map(|model| model.name.clone());
         let servers = view.roster.iter().map(|(_, server)| server).filter(|server| {
             server.record.service == *service
-                && server.record.phase == Phase::Ready
+                && server.phase() == Phase::Ready
                 && server.record.membership().is_some()
                 && server.missing_since.is_none()
                 && !self.liveness.is_lost(&server.id)
--- a/crates/mgw-fleet/src/plan/usage.rs
+++ b/crates/mgw-fleet/src/plan/usage.rs
@@ -45,7 +45,7 @@
         let elapsed = elapsed.unwrap_or_default();
         let available = view.roster.iter().map(|(_, server)| server).filter(|server| {
             server.record.engine.is_some()
-                && server.record.phase == roster::Phase::Ready
+                && server.phase() == roster::Phase::Ready
                 && !self.liveness.is_lost(&server.id)
         });
         let available = available.count();
--- a/crates/mgw-fleet/src/roster.rs
+++ b/crates/mgw-fleet/src/roster.rs
@@ -9,12 +9,14 @@
 use std::time::Duration;
 
 use mgw_base::arena::Key;
+use mgw_base::sorted::Map;
 use mgw_base::table::Table;
 use mgw_base::time::Instant;
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
 use crate::balance::Load;
+use crate::notice::{Notice, Process};
 
 /// Whether a server accepts new work.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -140,10 +142,28 @@
     /// Since when the list entry is missing, while the store may have dropped it because of an
     /// outage. For the entries that follow this one, the server is removed.
     pub missing_since: Option<Instant>,
+    /// What its process has stated in its responses.
+    pub notice: Notice,
     /// Load of the server as this process knows it.
     pub load: Load,
 }
 
+impl Server {
+    /// Whether the server accepts new work: not if its list entry or a response of its process
+    /// states that it is leaving.
+    pub fn phase(&self) -> Phase {
+        match self.notice.is_leaving {
+            true => Phase::Draining,
+            false => self.record.phase,
+        }
+    }
+
+    /// The process that the list entry is of.
+    pub fn process(&self) -> Process {
+        Process { id: self.id.clone(), started_ms: self.record.started_ms }
+    }
+}
+
 /// Key of a server in the [`Roster`]. A server that restarts under the same id gets a new key.
 pub type ServerKey = Key<Server>;
 
@@ -159,6 +179,10 @@
 /// hundred milliseconds.
 const MAX_REPORT_LAG: Duration = Duration::from_secs(1);
 
+/// Time for which the notice of a process that is not listed is kept. Servers end some seconds after
+/// their removal from the list.
+const NOTICE_RETENTION: Duration = Duration::from_secs(600);
+
 /// Maximum number of removals that are kept for the entries that receive changes from this one.
 const MAX_REMOVALS: usize = 512;
 
@@ -196,8 +220,8 @@
     servers: Table<Server>,
     /// Offset of the servers' topic up to which the list is known. It never decreases.
     end_offset: u64,
-    /// Increases with each change of a record and each removal. A heartbeat that changes nothing
-    /// leaves it as it is.
+    /// Increases with each change of a record, each removal, and each server that states that it is
+    /// leaving. A heartbeat that changes nothing leaves it as it is.
     revision: u64,
     /// When a read of the server list succeeded after more than [`MAX_CONTACT_GAP`] without one.
     regained_at: Option<Instant>,
@@ -208,6 +232,9 @@
     removals: Vec<(u64, SmolStr)>,
     /// Revision up to which removals are no longer kept.
     compacted_revision: u64,
+    /// Notices of processes that are not listed, with the times at which they were last listed or
+    /// stated something.
+    unlisted_notices: Map<Process, (Notice, Instant)>,
 }
 
 /// Changes since a revision.
@@ -264,12 +291,40 @@
     }
 
     /// Removes a server and records the removal for [`Roster::changes`].
-    fn delete(&mut self, id: &str) {
-        if self.servers.remove(id).is_some() {
+    fn delete(&mut self, id: &str, now: Instant) {
+        if let Some(server) = self.servers.remove(id) {
+            self.keep_notice(&server, now);
             self.record_removal(id);
         }
     }
 
+    /// Keeps the notice of a removed server in case that its process is listed again.
+    fn keep_notice(&mut self, server: &Server, now: Instant) {
+        if server.notice != Notice::default() {
+            self.unlisted_notices.insert(server.process(), (server.notice, now));
+        }
+    }
+
+    /// Records at `now` that `process` states that it is leaving. This holds until another process
+    /// is listed under its id, even if it is removed from the list and listed again. Returns
+    /// whether it is news.
+    pub fn record_leaving(&mut self, process: &Process, now: Instant) -> bool {
+        let listed = self.servers.by_name_mut(&process.id);
+        let notice = match listed.filter(|it| it.record.started_ms == process.started_ms) {
+            Some(server) => &mut server.notice,
+            None => {
+                let unlisted = &mut self.unlisted_notices;
+                let kept =
+                    unlisted.get_or_insert_with(process.clone(), || (Notice::default(), now));
+                kept.1 = now;
+                &mut kept.0
+            }
+        };
+        let is_news = !std::mem::replace(&mut notice.is_leaving, true);
+        self.revision += u64::from(is_news);
+        is_news
+    }
+
     /// Marks a server as missing, if it is not yet, and records a removal for [`Roster::changes`].
     fn mark_missing(&mut self, id: &str, now: Instant) {
         let Some(server) = self.servers.by_name_mut(id) else { return };
@@ -289,8 +344,8 @@
         }
     }
 
-    /// Increases with each change of a record and each removal, but not with heartbeats that change
-    /// nothing.
+    /// Increases with each change of a record, each removal and each server that states that it is
+    /// leaving, but not with heartbeats that change nothing.
     pub fn revision(&self) -> u64 {
         self.revision
     }
@@ -369,7 +424,11 @@
                 if let Some(engine) = &mut record.engine {
                     engine.fill_last_model(None);
                 }
-                self.servers.remove(id);
+                if let Some(ended) = self.servers.remove(id) {
+                    self.keep_notice(&ended, now);
+                }
+                let process = Process { id: id.into(), started_ms: record.started_ms };
+                let notice = self.unlisted_notices.remove(&process).map(|(notice, _)| notice);
                 self.revision += 1;
                 let server = Server {
                     id: id.into(),
@@ -381,6 +440,7 @@
                     changed_revision: self.revision,
                     changed_at: now,
                     missing_since: None,
+                    notice: notice.unwrap_or_default(),
                     load: Load::default(),
                 };
                 self.servers.insert(id.into(), server);
@@ -464,10 +524,10 @@
     pub fn remove(&mut self, id: &str, now: Instant) {
         let is_doubtful = self.has_recent_outage(now);
         match self.servers.by_name(id) {
-            Some(server) if is_doubtful && server.record.phase == Phase::Ready => {
+            Some(server) if is_doubtful && server.phase() == Phase::Ready => {
                 self.mark_missing(id, now);
             }
-            Some(_) => self.delete(id),
+            Some(_) => self.delete(id, now),
             None => {}
         }
     }
@@ -511,8 +571,10 @@
         }
     }
 
-    /// Removes servers that were not listed again in time after an outage.
+    /// Removes servers that were not listed again in time after an outage, and notices that are no
+    /// longer needed.
     pub fn tick(&mut self, now: Instant) {
+        self.unlisted_notices.retain(|_, (_, at)| now.since(*at) < NOTICE_RETENTION);
         if self.has_recent_outage(now) {
             return;
         }
@@ -522,6 +584,6 @@
             .filter(|(_, server)| server.missing_since.is_some())
             .map(|(id, _)| id.clone())
             .collect();
-        gone.iter().for_each(|id| self.delete(id));
+        gone.iter().for_each(|id| self.delete(id, now));
     }
 }
--- /dev/null
+++ b/crates/mgw-fleet/tests/notice.rs
@@ -0,0 +1,106 @@
+//! Tests of what servers state about themselves, and of how long it holds.
+
+mod common;
+
+use common::{Cluster, LARGE, SMALL, at, record};
+use mgw_fleet::notice::Process;
+use mgw_fleet::plan::Planner;
+use mgw_fleet::roster::{Phase, Record, Roster};
+
+/// The run of the server `a` that [`record`] is of.
+fn process(started_ms: u64) -> Process {
+    Process { id: "a".into(), started_ms }
+}
+
+fn restarted(started_ms: u64) -> Record {
+    Record { started_ms, ..record(0) }
+}
+
+fn phase(roster: &Roster) -> Option<Phase> {
+    roster.by_id("a").map(|server| server.phase())
+}
+
+/// Guards against a leaving server that counts as ready again because of an older list, or because
+/// its entry is removed and written again.
+#[test]
+fn the_list_does_not_take_a_statement_back() {
+    let mut roster = Roster::default();
+    roster.upsert("a", record(0), at(0));
+    assert!(roster.record_leaving(&process(1), at(100)));
+    assert!(!roster.record_leaving(&process(1), at(200)), "the second response is no news");
+    roster.upsert("a", record(0), at(300));
+    assert_eq!(phase(&roster), Some(Phase::Draining));
+    roster.remove("a", at(400));
+    roster.tick(at(5_000));
+    assert_eq!(phase(&roster), None);
+    roster.upsert("a", record(0), at(6_000));
+    assert_eq!(phase(&roster), Some(Phase::Draining));
+}
+
+/// Guards against a response that arrives after its server was removed from the list and is
+/// forgotten when the server is listed again.
+#[test]
+fn a_statement_of_an_unlisted_server_is_kept() {
+    let mut roster = Roster::default();
+    assert!(roster.record_leaving(&process(1), at(100)));
+    roster.upsert("a", record(0), at(200));
+    assert_eq!(phase(&roster), Some(Phase::Draining));
+}
+
+/// Guards against a new process that gets no requests because of what the former one stated, also
+/// if the response of the former one arrives late.
+#[test]
+fn a_new_process_is_not_bound_by_a_former_one() {
+    let mut roster = Roster::default();
+    roster.upsert("a", record(0), at(0));
+    roster.record_leaving(&process(1), at(100));
+    assert!(roster.upsert("a", restarted(2), at(200)));
+    assert_eq!(phase(&roster), Some(Phase::Ready));
+    roster.record_leaving(&process(1), at(300));
+    assert_eq!(phase(&roster), Some(Phase::Ready));
+    roster.record_leaving(&process(2), at(400));
+    assert_eq!(phase(&roster), Some(Phase::Draining));
+}
+
+/// Guards against notices that are kept without end.
+#[test]
+fn notices_of_processes_that_ended_long_ago_are_dropped() {
+    let mut roster = Roster::default();
+    roster.record_leaving(&process(1), at(0));
+    roster.tick(at(599_000));
+    roster.tick(at(601_000));
+    roster.upsert("a", record(0), at(602_000));
+    assert_eq!(phase(&roster), Some(Phase::Ready));
+}
+
+/// Guards against a leaving server that is kept after its removal because the store was out of
+/// reach before.
+#[test]
+fn a_removed_leaving_server_is_not_doubted() {
+    let mut roster = Roster::default();
+    roster.record_read(at(0), at(0));
+    roster.upsert("a", record(0), at(0));
+    roster.record_leaving(&process(1), at(100));
+    roster.remove("a", at(3_000));
+    assert_eq!(phase(&roster), None);
+}
+
+/// Guards against a planner that keeps a group whose member is leaving, or forms a new one with it,
+/// because the list says that the member is ready.
+#[test]
+fn the_planner_replaces_a_leaving_member() {
+    let mut world = Cluster::new(1, 5);
+    world.demand.insert(("engines".into(), LARGE.into()), 1.0);
+    world.demand.insert(("engines".into(), SMALL.into()), 0.0);
+    let mut planner = Planner::new(5, at(0));
+    world.run(&mut planner, 2_000);
+    let group = world.open_groups(LARGE).first().cloned().expect("a group");
+    let leaving = world.members(&group)[2].clone();
+    let process = Process { id: leaving.clone(), started_ms: 1 };
+    assert!(world.roster.record_leaving(&process, world.now));
+    world.run(&mut planner, 4_000);
+    let formed = world.open_groups(LARGE);
+    assert_eq!(formed.len(), 1);
+    assert_ne!(formed[0], group);
+    assert!(!world.members(&formed[0]).contains(&leaving));
+}
--- a/crates/mgw-gateway/src/control.rs
+++ b/crates/mgw-gateway/src/control.rs
@@ -19,6 +19,7 @@
 use crate::connection::Connection;
 use crate::feed::reader::Follower;
 use crate::gateway::Gateway;
+use crate::notice;
 use crate::pool;
 use crate::store::Client;
 
@@ -317,10 +318,13 @@
     let now = clock::now();
     let found = gateway.with(|state| {
         let key = state.roster.find(instance)?;
-        let address = state.roster.get(key)?.record.address;
-        Some((key, address, state.pool.take(key, now)))
+        let server = state.roster.get(key)?;
+        let (process, address) = (server.process(), server.record.address);
+        Some((key, process, address, state.pool.take(key, now)))
     });
-    let Some((key, address, pooled)) = found else { return Err(io::ErrorKind::NotFound.into()) };
+    let Some((key, process, address, pooled)) = found else {
+        return Err(io::ErrorKind::NotFound.into());
+    };
     let exchange = async {
         let mut connection = match pooled {
             Some(connection) => connection,
@@ -338,6 +342,8 @@
     let result = tokio::time::timeout(limit, exchange).await;
     let (head, response_body, connection) =
         result.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
+    let metadata = header::parse_response_metadata(&head);
+    gateway.with(|state| notice::record(state, &process, &head, &metadata));
     if let Some(connection) = connection {
         let timeout = pool::keep_alive_timeout(&head);
         gateway.with(|state| state.pool.put(key, connection, timeout, clock::now()));
--- a/crates/mgw-gateway/src/exchange.rs
+++ b/crates/mgw-gateway/src/exchange.rs
@@ -12,6 +12,9 @@
 pub enum Failure {
     /// The connection could not be established, so nothing was sent.
     Connect,
+    /// The server stopped taking requests while the connection was being established. Nothing was
+    /// sent.
+    Withdrawn,
     /// The server states that it did not execute the request.
     NotRun {
         /// Status code of its response.
@@ -46,7 +49,7 @@
 impl Failure {
     /// Whether the server may have executed the request, provided that it was sent.
     pub fn may_have_run(self) -> bool {
-        !matches!(self, Failure::Connect | Failure::NotRun { .. })
+        !matches!(self, Failure::Connect | Failure::Withdrawn | Failure::NotRun { .. })
     }
 
     /// Whether the failure is of the server or its connection, so that another server may succeed.
@@ -59,6 +62,7 @@
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Failure::Connect => formatter.write_str("cannot connect"),
+            Failure::Withdrawn => formatter.write_str("takes no requests any more"),
             Failure::NotRun { status } => write!(formatter, "not executed, status {status}"),
             Failure::ConnectionLost => formatter.write_str("connection lost"),
             Failure::Malformed => formatter.write_str("malformed response"),
--- a/crates/mgw-gateway/src/forward.rs
+++ b/crates/mgw-gateway/src/forward.rs
@@ -37,8 +37,8 @@
 use crate::in_flight::{Alarm, RequestKey};
 use crate::reply::{Cause, Reply};
 
-/// Number of failed connections after which a request fails. Failed connections do not count as
-/// attempts and need no retry budget.
+/// Number of attempts that sent nothing, as with a failed connection, after which a request fails.
+/// They do not count as attempts of the route and need no retry budget.
 const MAX_FAILED_CONNECTS: usize = 4;
 
 /// Time for which new requests avoid a stalled target.
@@ -111,13 +111,13 @@
     request_key: RequestKey,
     /// Notified when an alarm is raised.
     wake: Rc<Notify>,
-    /// Servers of all attempts, including failed connections. They are not chosen again.
+    /// Servers of all attempts, including those that sent nothing. They are not chosen again.
     tried: Vec<ServerKey>,
-    /// Number of attempts so far, not counting failed connections.
+    /// Number of attempts so far, not counting those that sent nothing.
     attempts: u32,
     /// Number of attempts that servers refused, as far as is known without running the request.
     refusals: u32,
-    /// Number of failed connections.
+    /// Number of attempts that sent nothing.
     failed_connects: usize,
     /// Whether a server may have executed it.
     may_have_run: bool,
@@ -325,8 +325,8 @@
         }
     }
 
-    /// Whether the request may be sent to another server after `failure`. If so, counts a failed
-    /// connection, or draws a retry from the budget unless one has already been drawn.
+    /// Whether the request may be sent to another server after `failure`. If so, counts an attempt
+    /// that sent nothing, or draws a retry from the budget unless one has already been drawn.
     fn prepare_retry(&mut self, failure: Failure) -> bool {
         let now = clock::now();
         let is_repeatable = self.is_repeatable() || !self.may_have_run;
@@ -334,7 +334,7 @@
         {
             return false;
         }
-        if failure == Failure::Connect {
+        if matches!(failure, Failure::Connect | Failure::Withdrawn) {
             self.failed_connects += 1;
             return self.failed_connects < MAX_FAILED_CONNECTS;
         }
--- a/crates/mgw-gateway/src/forward/attempt.rs
+++ b/crates/mgw-gateway/src/forward/attempt.rs
@@ -5,7 +5,7 @@
 use bytes::BytesMut;
 use mgw_base::time::Instant;
 use mgw_fleet::config::Kind;
-use mgw_fleet::roster::ServerKey;
+use mgw_fleet::roster::{Phase, ServerKey};
 use platform::header;
 
 use crate::clock;
@@ -14,6 +14,7 @@
 use crate::forward::exchange::{Exchange, Progress, Reuse};
 use crate::forward::target::Target;
 use crate::forward::{ActiveRequest, MIN_ATTEMPT_TIME, NO_TIMEOUT};
+use crate::gateway::State;
 use crate::in_flight::Wait;
 use crate::limit;
 
@@ -26,6 +27,11 @@
 /// Time without the first event after which a resumable stream may move to another group.
 const FIRST_EVENT_TIMEOUT: Duration = Duration::from_millis(1_300);
 
+/// Whether `target` is still listed and takes requests.
+fn takes_requests(state: &State, target: &Target) -> bool {
+    state.roster.get(target.id).is_some_and(|server| server.phase() == Phase::Ready)
+}
+
 impl ActiveRequest<'_> {
     /// Makes an attempt at `target`, which is counted in the target's requests in flight meanwhile.
     pub(super) async fn attempt(
@@ -108,7 +114,8 @@
     }
 
     /// Takes an idle connection to `target` from the pool or opens a new one. The response to a
-    /// request without an attempt id can be told from others only on a new one.
+    /// request without an attempt id can be told from others only on a new one. Fails if the target
+    /// has stopped taking requests once it is open.
     pub(super) async fn connect(
         &mut self,
         caller: &mut Connection,
@@ -124,7 +131,11 @@
         }
         self.gateway.count("connections", "opened");
         let connecting = Connection::connect(target.address, CONNECT_TIMEOUT);
-        self.wait(caller, connecting).await?.map_err(|_| Failure::Connect)
+        let connection = self.wait(caller, connecting).await?.map_err(|_| Failure::Connect)?;
+        match self.gateway.with(|state| takes_requests(state, target)) {
+            true => Ok(connection),
+            false => Err(Failure::Withdrawn),
+        }
     }
 
     /// The bytes of the request for `target`, with the time left until the deadline as of `now`.
@@ -134,7 +145,7 @@
             Duration::from_micros(self.deadline.as_micros().saturating_sub(now.as_micros()));
         let upstream = header::UpstreamMetadata {
             timeout: time_left,
-            server_id: &target.name,
+            server_id: &target.process.id,
             team: self.team.as_deref(),
             last_event_id: self.splitter.last_id().or(self.metadata.last_event_id),
             priority: Some(self.priority),
@@ -162,7 +173,11 @@
         let id = exchange.target.id;
         if let Reuse::Idle { timeout } = exchange.reuse {
             let now = clock::now();
-            self.gateway.with(|state| state.pool.put(id, exchange.connection, timeout, now));
+            self.gateway.with(|state| {
+                if takes_requests(state, &exchange.target) {
+                    state.pool.put(id, exchange.connection, timeout, now);
+                }
+            });
         }
         self.leave_target(id);
     }
--- a/crates/mgw-gateway/src/forward/receive.rs
+++ b/crates/mgw-gateway/src/forward/receive.rs
@@ -15,6 +15,7 @@
 use crate::forward::ActiveRequest;
 use crate::forward::exchange::{Exchange, Stage};
 use crate::limit;
+use crate::notice;
 
 /// Maximum size of a server's response head in bytes.
 const MAX_HEAD_BYTES: usize = 32 << 10;
@@ -62,6 +63,9 @@
         let target = exchange.target.id;
         let response = self.read_head(caller, &mut exchange.connection).await?;
         let response_metadata = header::parse_response_metadata(&response);
+        self.gateway.with(|state| {
+            notice::record(state, &exchange.target.process, &response, &response_metadata);
+        });
         if !self.is_own(&response, &response_metadata, exchange.connection.is_reused)? {
             return begin_skip(exchange, &response);
         }
--- a/crates/mgw-gateway/src/forward/record.rs
+++ b/crates/mgw-gateway/src/forward/record.rs
@@ -73,7 +73,8 @@
             (Next::Target, true) => EventKind::RequestResumed,
             (Next::Target, false) => EventKind::RequestRetried,
         };
-        let server = self.target.as_ref().map(|target| target.name.as_str()).unwrap_or_default();
+        let server =
+            self.target.as_ref().map(|target| target.process.id.as_str()).unwrap_or_default();
         self.record_event(kind, &format!("{failure} at {server}"));
     }
 
@@ -137,7 +138,7 @@
         let age = now.since(self.arrived).as_millis();
         let route = &self.route().name;
         let (server, load) = match &self.target {
-            Some(target) => (target.name.as_str(), target.requests),
+            Some(target) => (target.process.id.as_str(), target.requests),
             None => ("", 0.0),
         };
         self.gateway.with(|state| {
--- a/crates/mgw-gateway/src/forward/target.rs
+++ b/crates/mgw-gateway/src/forward/target.rs
@@ -1,9 +1,9 @@
 //! The choice of a target for an attempt.
 
 use mgw_fleet::balance::{self, Candidate};
+use mgw_fleet::notice::Process;
 use mgw_fleet::peer_load;
 use mgw_fleet::roster::{Phase, ServerKey};
-use smol_str::SmolStr;
 
 use crate::clock;
 use crate::forward::ActiveRequest;
@@ -21,7 +21,7 @@
 #[derive(Clone, Debug)]
 pub(super) struct Target {
     pub(super) id: ServerKey,
-    pub(super) name: SmolStr,
+    pub(super) process: Process,
     pub(super) address: std::net::SocketAddr,
     /// Estimated requests of all entries at the server when it was chosen.
     pub(super) requests: f64,
@@ -83,7 +83,7 @@
                 }
                 None => {
                     let ready = state.roster.iter().filter(|(_, it)| {
-                        it.record.service == self.service && it.record.phase == Phase::Ready
+                        it.record.service == self.service && it.phase() == Phase::Ready
                     });
                     let mut slots = 0;
                     for (id, server) in ready {
@@ -104,7 +104,7 @@
             let server = state.roster.get(id).ok_or(Cause::NoTarget)?;
             Ok(Target {
                 id,
-                name: server.id.clone(),
+                process: server.process(),
                 address: server.record.address,
                 requests: requests.unwrap_or_default(),
             })
--- a/crates/mgw-gateway/src/lib.rs
+++ b/crates/mgw-gateway/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod limit;
 pub mod memory;
 pub mod metrics;
+pub mod notice;
 pub mod pool;
 pub mod reply;
 pub mod run;
