Send nothing to a server for as long as it asks for a pause

A server that turns requests away with 503 may state in Retry-After for how long it wants none from this entry. It got them all the same, and callers whose request and retry both met such servers were refused.

Cause: the field was not read. It was also passed on to the caller where a 503 of a server is, so the caller waited for one server although others could serve.

The pause now holds for the process of the server, like the statement that it is leaving: no request, retry or resumed stream is sent there until the latest end, 10 min at most; also if the process is removed from the list and listed again, and not for a new process. A request whose new connection is still being established is sent elsewhere. If all servers of a service, or groups of a model, have asked for a pause, requests are refused at once, and the caller is told to return at a random time after the end of the first pause. Retry-After of a server's 503 is replaced by the time after which the service may take the request. Orders and probes go on: the planner sends them only with a cause, and a head in need must still be closed or replaced.

--- a/crates/mgw-fleet/src/roster.rs
+++ b/crates/mgw-fleet/src/roster.rs
@@ -158,6 +158,11 @@
         }
     }
 
+    /// Whether a request may be sent to the server.
+    pub fn takes_requests(&self, now: Instant) -> bool {
+        self.phase() == Phase::Ready && self.notice.pause_left(now).is_zero()
+    }
+
     /// The process that the list entry is of.
     pub fn process(&self) -> Process {
         Process { id: self.id.clone(), started_ms: self.record.started_ms }
@@ -309,8 +314,23 @@
     /// is listed under its id, even if it is removed from the list and listed again. Returns
     /// whether it is news.
     pub fn record_leaving(&mut self, process: &Process, now: Instant) -> bool {
+        let notice = self.notice_mut(process, now);
+        let is_news = !std::mem::replace(&mut notice.is_leaving, true);
+        self.revision += u64::from(is_news);
+        is_news
+    }
+
+    /// Records at `now` that `process` takes no requests from this entry for the time `pause`. See
+    /// [`Roster::record_leaving`] on how long this holds. Returns whether there was no pause
+    /// before.
+    pub fn record_pause(&mut self, process: &Process, pause: Duration, now: Instant) -> bool {
+        self.notice_mut(process, now).pause(pause, now)
+    }
+
+    /// The notice of a process that states something at `now`, whether it is listed or not.
+    fn notice_mut(&mut self, process: &Process, now: Instant) -> &mut Notice {
         let listed = self.servers.by_name_mut(&process.id);
-        let notice = match listed.filter(|it| it.record.started_ms == process.started_ms) {
+        match listed.filter(|it| it.record.started_ms == process.started_ms) {
             Some(server) => &mut server.notice,
             None => {
                 let unlisted = &mut self.unlisted_notices;
@@ -319,10 +339,7 @@
                 kept.1 = now;
                 &mut kept.0
             }
-        };
-        let is_news = !std::mem::replace(&mut notice.is_leaving, true);
-        self.revision += u64::from(is_news);
-        is_news
+        }
     }
 
     /// Marks a server as missing, if it is not yet, and records a removal for [`Roster::changes`].
--- a/crates/mgw-fleet/tests/notice.rs
+++ b/crates/mgw-fleet/tests/notice.rs
@@ -2,8 +2,10 @@
 
 mod common;
 
+use std::time::Duration;
+
 use common::{Cluster, LARGE, SMALL, at, record};
-use mgw_fleet::notice::Process;
+use mgw_fleet::notice::{Notice, Process};
 use mgw_fleet::plan::Planner;
 use mgw_fleet::roster::{Phase, Record, Roster};
 
@@ -85,6 +87,41 @@
     assert_eq!(phase(&roster), None);
 }
 
+/// Guards against requests before the end of a pause because of another response with a shorter one,
+/// and against a server that gets no requests for good because of a mistaken one.
+#[test]
+fn the_latest_end_of_a_pause_holds_within_bounds() {
+    let mut notice = Notice::default();
+    assert!(notice.pause(Duration::from_secs(4), at(1_000)));
+    assert!(!notice.pause(Duration::from_secs(1), at(2_000)), "the server is paused already");
+    assert_eq!(notice.pause_left(at(2_000)), Duration::from_secs(3));
+    assert!(!notice.pause(Duration::from_secs(4), at(3_000)));
+    assert_eq!(notice.pause_left(at(3_000)), Duration::from_secs(4));
+    assert_eq!(notice.pause_left(at(7_000)), Duration::ZERO);
+    assert!(!notice.pause(Duration::ZERO, at(8_000)));
+    assert!(notice.pause(Duration::from_secs(300), at(9_000)));
+    assert_eq!(notice.pause_left(at(9_000)), Duration::from_secs(300));
+    notice.pause(Duration::MAX, at(9_000));
+    assert_eq!(notice.pause_left(at(9_000)), Duration::from_secs(600));
+}
+
+/// Guards against requests during a pause because the entry of the server is removed and written
+/// again, and against a pause that binds a new process.
+#[test]
+fn a_pause_holds_for_its_process_only() {
+    let mut roster = Roster::default();
+    roster.upsert("a", record(0), at(0));
+    roster.record_pause(&process(1), Duration::from_secs(8), at(0));
+    let takes_requests =
+        |roster: &Roster, ms| roster.by_id("a").map(|server| server.takes_requests(at(ms)));
+    roster.remove("a", at(500));
+    roster.upsert("a", record(0), at(1_000));
+    assert_eq!(takes_requests(&roster, 7_999), Some(false));
+    assert_eq!(takes_requests(&roster, 8_000), Some(true));
+    roster.upsert("a", restarted(2), at(2_000));
+    assert_eq!(takes_requests(&roster, 2_000), Some(true));
+}
+
 /// Guards against a planner that keeps a group whose member is leaving, or forms a new one with it,
 /// because the list says that the member is ready.
 #[test]
--- a/crates/mgw-gateway/src/admin.rs
+++ b/crates/mgw-gateway/src/admin.rs
@@ -152,6 +152,8 @@
         let limited = state.roster.iter().filter(limited).count() as u64;
         let leaving = |(_, server): &(_, &Server)| server.notice.is_leaving;
         let leaving = state.roster.iter().filter(leaving).count() as u64;
+        let paused = |(_, server): &(_, &Server)| !server.notice.pause_left(now).is_zero();
+        let paused = state.roster.iter().filter(paused).count() as u64;
         let totals = state.planner.as_ref().map(Planner::totals).unwrap_or_default();
         let proof = state.config_proof.age(now).map_or(u64::MAX, |age| age.as_millis() as u64);
         state.metrics.text(&[
@@ -162,6 +164,7 @@
             ("servers_listed", state.roster.len() as u64),
             ("servers_limited", limited),
             ("servers_leaving", leaving),
+            ("servers_paused", paused),
             ("groups_known", groups.len() as u64),
             ("groups_servable", servable),
             ("parts_quarantined", state.poison.quarantined_count() as u64),
--- a/crates/mgw-gateway/src/forward.rs
+++ b/crates/mgw-gateway/src/forward.rs
@@ -321,7 +321,15 @@
             Failure::Deadline if self.may_have_run => Cause::Timeout,
             Failure::Deadline => Cause::TooLate,
             _ if self.may_have_run => Cause::ServerFailed,
-            _ => Cause::RefusedByServers,
+            _ => self.refusal_cause(),
+        }
+    }
+
+    /// The cause of a refusal after each server that was tried has refused the request.
+    fn refusal_cause(&self) -> Cause {
+        match self.choose_target() {
+            Err(cause @ Cause::Paused { .. }) => cause,
+            Ok(_) | Err(_) => Cause::RefusedByServers,
         }
     }
 
--- a/crates/mgw-gateway/src/forward/attempt.rs
+++ b/crates/mgw-gateway/src/forward/attempt.rs
@@ -27,9 +27,15 @@
 /// Time without the first event after which a resumable stream may move to another group.
 const FIRST_EVENT_TIMEOUT: Duration = Duration::from_millis(1_300);
 
+/// Whether `target` is still listed, and neither draining nor leaving.
+fn is_ready(state: &State, target: &Target) -> bool {
+    state.roster.get(target.id).is_some_and(|server| server.phase() == Phase::Ready)
+}
+
 /// Whether `target` is still listed and takes requests.
 fn takes_requests(state: &State, target: &Target) -> bool {
-    state.roster.get(target.id).is_some_and(|server| server.phase() == Phase::Ready)
+    let now = clock::now();
+    state.roster.get(target.id).is_some_and(|server| server.takes_requests(now))
 }
 
 impl ActiveRequest<'_> {
@@ -174,7 +180,7 @@
         if let Reuse::Idle { timeout } = exchange.reuse {
             let now = clock::now();
             self.gateway.with(|state| {
-                if takes_requests(state, &exchange.target) {
+                if is_ready(state, &exchange.target) {
                     state.pool.put(id, exchange.connection, timeout, now);
                 }
             });
--- a/crates/mgw-gateway/src/forward/response.rs
+++ b/crates/mgw-gateway/src/forward/response.rs
@@ -15,7 +15,7 @@
 use crate::exchange::{Answer, Failure, Outcome};
 use crate::forward::exchange::{Exchange, Stage};
 use crate::forward::{ActiveRequest, Persistence};
-use crate::reply::{Cause, Reply};
+use crate::reply::{self, Cause, Reply};
 
 /// Media type of a stream of server-sent events.
 const EVENT_STREAM: &str = "text/event-stream";
@@ -133,7 +133,8 @@
         }
     }
 
-    /// Appends the head of a server's response. Without a `length` the body is chunked, or for an
+    /// Appends the head of a server's response. If the server asks this entry for a pause, the
+    /// caller is told when the service takes its requests again. Without a `length` the body is chunked, or for an
     /// HTTP/1.0 caller ends with the connection.
     pub(super) fn write_head(
         &self,
@@ -142,9 +143,14 @@
         length: Option<usize>,
     ) {
         write::status_line(output, response.status);
-        let fields =
-            response.fields.iter().filter(|(name, _)| header::is_forwarded_to_caller(name));
+        let is_forwarded =
+            |(name, _): &(&[u8], _)| header::is_forwarded_to_caller(name, response.status);
+        let fields = response.fields.iter().filter(is_forwarded);
         fields.for_each(|(name, value)| write::field(output, name, value));
+        if header::parse_response_metadata(response).pause.is_some() {
+            let spread = self.gateway.with(|state| state.rng.random::<f64>());
+            reply::write_retry_after(output, self.refusal_cause(), spread);
+        }
         match length {
             Some(length) => write::number_field(output, "Content-Length", length as u64),
             None if self.request.is_http_11 => {
--- a/crates/mgw-gateway/src/notice.rs
+++ b/crates/mgw-gateway/src/notice.rs
@@ -1,5 +1,7 @@
 //! What responses state about the servers that they come from.
 
+use std::time::Duration;
+
 use mgw_event::Kind;
 use mgw_event::event::Body;
 use mgw_fleet::notice::Process;
@@ -24,6 +26,17 @@
     if is_from_process && metadata.is_leaving {
         record_leaving(state, process);
     }
+    if let Some(pause) = metadata.pause {
+        record_pause(state, process, pause);
+    }
+}
+
+/// Records that `process` takes no requests from this entry for the time `pause`.
+fn record_pause(state: &mut State, process: &Process, pause: Duration) {
+    if state.roster.record_pause(process, pause, clock::now()) {
+        let text = format!("{:.2} s", pause.as_secs_f64());
+        state.journal.record(Body::new(Kind::ServerPaused).instance(&process.id).text(text));
+    }
 }
 
 /// Records that `process` is leaving. Idle connections to it are closed.
--- a/crates/mgw-gateway/src/reply.rs
+++ b/crates/mgw-gateway/src/reply.rs
@@ -6,6 +6,9 @@
 use bytes::BytesMut;
 use mgw_http::{Error, write};
 
+/// Minimum range of the times at which callers return after the end of a pause of servers.
+const MIN_SPREAD_AFTER_PAUSE: Duration = Duration::from_millis(300);
+
 /// Why a request gets a local reply.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Cause {
@@ -33,6 +36,11 @@
     Quarantined,
     /// No server or group is available for the request.
     NoTarget,
+    /// All servers or groups have asked this entry for a pause.
+    Paused {
+        /// Time until the first of them takes requests again.
+        left: Duration,
+    },
     /// All servers or groups have as many requests running and waiting as they may.
     Full,
     /// No connection could be made, or each server that was tried refused the request without
@@ -62,6 +70,7 @@
             | Cause::Leaving
             | Cause::Quarantined
             | Cause::NoTarget
+            | Cause::Paused { .. }
             | Cause::Full
             | Cause::RefusedByServers
             | Cause::TooLate => 503,
@@ -85,6 +94,7 @@
             Cause::Leaving => "leaving",
             Cause::Quarantined => "quarantined",
             Cause::NoTarget => "no_target",
+            Cause::Paused { .. } => "servers_paused",
             Cause::Full => "full",
             Cause::RefusedByServers => "refused_by_servers",
             Cause::TooLate => "too_late",
@@ -94,7 +104,20 @@
     }
 
     /// Time after which the caller should retry; `None` if a retry is not expected to help.
-    pub fn retry_after(self) -> Option<Duration> {
+    ///
+    /// `spread`, a random number from 0 to 1, varies it, so that callers that are refused together
+    /// do not all retry at the same time: by 30% in both directions, or, if the time is known
+    /// before which a retry would be refused again, upwards only.
+    pub fn retry_after(self, spread: f64) -> Option<Duration> {
+        if let Cause::Paused { left } = self {
+            let range = (left * 3 / 5).max(MIN_SPREAD_AFTER_PAUSE);
+            return Some(left + range.mul_f64(spread));
+        }
+        self.typical_retry_after().map(|time| time.mul_f64(0.7 + 0.6 * spread))
+    }
+
+    /// Mean time after which the caller should retry.
+    fn typical_retry_after(self) -> Option<Duration> {
         match self {
             // Another entry can probably serve the request.
             Cause::NoConfig | Cause::StaleConfig | Cause::Overloaded | Cause::Leaving => {
@@ -120,6 +143,16 @@
     }
 }
 
+/// Appends the field `Retry-After` to `output`, if there is such a time; see
+/// [`Cause::retry_after`].
+pub fn write_retry_after(output: &mut BytesMut, cause: Cause, spread: f64) {
+    if let Some(time) = cause.retry_after(spread) {
+        // Rounded up: a caller that returns before the time is refused again.
+        let seconds = format!("{:.2}", (time.as_secs_f64() * 100.0).ceil() / 100.0);
+        write::field(output, b"Retry-After", seconds.as_bytes());
+    }
+}
+
 /// A local reply.
 #[derive(Clone, Copy, Debug)]
 pub struct Reply<'a> {
@@ -127,8 +160,7 @@
     pub cause: Cause,
     /// Id of the caller's attempt; empty if the caller states none.
     pub attempt: &'a str,
-    /// A random number from 0 to 1 that varies `Retry-After` by 30% in both directions, so that
-    /// callers that are refused together do not all retry at the same time.
+    /// Random number from 0 to 1 that varies `Retry-After`; see [`Cause::retry_after`].
     pub spread: f64,
     /// Whether the caller's connection ends with it.
     pub is_last: bool,
@@ -144,10 +176,7 @@
             let name = platform::header::ATTEMPT_ID.as_bytes();
             write::field(output, name, self.attempt.as_bytes());
         }
-        if let Some(span) = self.cause.retry_after() {
-            let seconds = format!("{:.2}", span.as_secs_f64() * (0.7 + 0.6 * self.spread));
-            write::field(output, b"Retry-After", seconds.as_bytes());
-        }
+        write_retry_after(output, self.cause, self.spread);
         if self.is_last {
             write::field(output, b"Connection", b"close");
         }
