--- a/crates/mgw-fleet/src/notice.rs
+++ b/crates/mgw-fleet/src/notice.rs
@@ -8,8 +8,8 @@
 use mgw_base::time::Instant;
 use smol_str::SmolStr;
 
-/// Longest pause that a server can ask for. A longer one is more likely an error of the server, which
-/// would then get no requests until it restarts.
+/// Longest pause that a server can ask for. A longer one is more likely an error of the server,
+/// which would then get no requests until it restarts.
 const MAX_PAUSE: Duration = Duration::from_secs(600);
 
 /// One run of a server. A server that restarts under the same id is another process.
--- a/crates/mgw-gateway/src/forward/response.rs
+++ b/crates/mgw-gateway/src/forward/response.rs
@@ -133,9 +133,9 @@
         }
     }
 
-    /// Appends the head of a server's response. If the server asks this entry for a pause, the
-    /// caller is told when the service takes its requests again. Without a `length` the body is chunked, or for an
-    /// HTTP/1.0 caller ends with the connection.
+    /// Appends the head of a server's response. Without a `length` the body is chunked, or for an
+    /// HTTP/1.0 caller ends with the connection. If the server asks this entry for a pause, the
+    /// caller is told when the service takes its requests again.
     pub(super) fn write_head(
         &self,
         output: &mut BytesMut,
@@ -147,7 +147,7 @@
             |(name, _): &(&[u8], _)| header::is_forwarded_to_caller(name, response.status);
         let fields = response.fields.iter().filter(is_forwarded);
         fields.for_each(|(name, value)| write::field(output, name, value));
-        if header::parse_response_metadata(response).pause.is_some() {
+        if header::parse_pause(response).is_some() {
             let spread = self.gateway.with(|state| state.rng.random::<f64>());
             reply::write_retry_after(output, self.refusal_cause(), spread);
         }
