Keep drains, removals and groups that a restored store does not show

Cause: an entry that is read is taken as newer than what is known. A copy shows what was before: a drain, a removal, a change of group, or an entry that has since stopped.

Now the servers' entries carry the count of heartbeats, which rises within a process. After a restore, an entry with a lower count than the known one, or of a process that was removed since, tells nothing; so does a copied heartbeat of a known gateway entry. An entry with a higher count, or at a position after the first restored list, holds. The list is read again as a whole after 4.8 s, so that no live server stays left out and no dead one in.

--- a/crates/mgw-fleet/src/entry.rs
+++ b/crates/mgw-fleet/src/entry.rs
@@ -201,6 +201,9 @@
     last_read: Option<Instant>,
     /// Position in the entries' topic up to which the records are known. It never decreases.
     end_offset: u64,
+    /// Position before which records may be of the copy that the store was restored from; 0 if it
+    /// was not restored.
+    copy_end: u64,
     /// When `end_offset` last increased.
     advanced_at: Instant,
     /// Since when no live entry has been planner.
@@ -209,11 +212,16 @@
 
 impl Table {
     /// Applies the record with `key` at `position`, which was current at `seen_at`.
+    ///
+    /// A heartbeat that may be of the copy that the store was restored from tells nothing of an entry
+    /// that is known.
     pub fn apply(&mut self, key: &str, position: u64, record: Record, seen_at: Instant) {
         match (key.strip_prefix("entry/"), record) {
             (Some(name), Record::Heartbeat { own, followers, .. }) => {
                 let source = SmolStr::new(name);
-                self.delist(&source, &followers, position);
+                if position >= self.copy_end {
+                    self.delist(&source, &followers, position);
+                }
                 self.upsert(source.clone(), own, position, &source, seen_at);
                 for member in followers {
                     self.upsert(member.name.into(), member.heartbeat, position, &source, seen_at);
@@ -242,7 +250,7 @@
         });
     }
 
-    /// Stores a heartbeat unless one with a higher position is known.
+    /// Stores a heartbeat unless a newer one is known.
     fn upsert(
         &mut self,
         name: SmolStr,
@@ -252,7 +260,8 @@
         last_seen: Instant,
     ) {
         let known = self.entries.get(&name);
-        if known.is_none_or(|known| known.position <= position) {
+        let is_copied = position < self.copy_end;
+        if known.is_none_or(|known| known.position <= position && !is_copied) {
             let own_seen = match name == *source {
                 true => Some(last_seen),
                 false => known.and_then(|known| known.own_seen),
@@ -281,6 +290,7 @@
     /// heartbeats, so no entry times out for lack of one until it could send another.
     pub fn advance(&mut self, end_offset: u64, now: Instant) {
         if position::begins_era(self.end_offset, end_offset) {
+            self.copy_end = end_offset;
             self.entries.iter_mut().for_each(|(_, entry)| entry.last_seen = now);
         }
         if end_offset > self.end_offset {
--- a/crates/mgw-fleet/src/roster.rs
+++ b/crates/mgw-fleet/src/roster.rs
@@ -145,6 +145,9 @@
     pub missing_since: Option<Instant>,
     /// What its process has stated in its responses.
     pub notice: Notice,
+    /// Number of heartbeats that the process had sent when it wrote the newest entry that was read
+    /// from the store; `None` if none was.
+    heartbeat_count: Option<u64>,
     /// Load of the server as this process knows it.
     pub load: Load,
 }
@@ -181,6 +184,10 @@
 /// Time after an outage of the store within which live servers are listed again.
 const RELIST_TIMEOUT: Duration = Duration::from_millis(2_200);
 
+/// Time after a restore of the store within which it has dropped the entries of the copy that their
+/// servers do not write again: three heartbeat intervals of 1.2 s, and one that may be late.
+const COPY_TIMEOUT: Duration = Duration::from_millis(4_800);
+
 /// Time for which a report may still show a state from before the newest order. Reports lag by some
 /// hundred milliseconds.
 const MAX_REPORT_LAG: Duration = Duration::from_secs(1);
@@ -220,12 +227,45 @@
 
 impl std::error::Error for Outdated {}
 
+/// A removal of a server from the roster.
+#[derive(Clone, Debug)]
+struct Removal {
+    /// Revision of the roster at which it happened.
+    revision: u64,
+    /// Id of the server.
+    id: SmolStr,
+    /// Start time of the process, as in [`Record::started_ms`].
+    started_ms: u64,
+    /// As in [`Server::heartbeat_count`].
+    heartbeat_count: Option<u64>,
+}
+
+/// How new an entry is that was read from the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Stamp {
+    /// Its position in the servers' topic.
+    pub position: u64,
+    /// Number of heartbeats that the process had sent when it wrote the entry, if it states one.
+    pub heartbeat_count: Option<u64>,
+}
+
+/// A restore of the store from an older copy, while the list may still be that of the copy.
+#[derive(Clone, Copy, Debug)]
+struct Restore {
+    /// Position in the servers' topic before which records may be of the copy.
+    copy_end: u64,
+    /// When the restore was seen.
+    seen_at: Instant,
+}
+
 /// All known servers.
 #[derive(Clone, Debug, Default)]
 pub struct Roster {
     servers: Table<Server>,
     /// Position in the servers' topic up to which the list is known. It never decreases.
     end_offset: u64,
+    /// The newest restore of the store, until the list is read again after [`COPY_TIMEOUT`].
+    restore: Option<Restore>,
     /// Increases with each change of a record, each removal, and each server that states that it is
     /// leaving. A heartbeat that changes nothing leaves it as it is.
     revision: u64,
@@ -235,8 +275,8 @@
     /// When the two newest reads of the server list were sent, the older one first; `None` before
     /// the first read. They are this entry's own reads or those of the reader that it follows.
     read_times: Option<(Instant, Instant)>,
-    /// The newest removals with the revisions at which they happened, in ascending order.
-    removals: Vec<(u64, SmolStr)>,
+    /// The newest removals in the order of their revisions.
+    removals: Vec<Removal>,
     /// Revision up to which removals are no longer kept.
     compacted_revision: u64,
     /// Notices of processes that are not listed, with the times at which they were last listed or
@@ -276,19 +316,57 @@
             return Err(Outdated { end_offset, known_end: self.end_offset });
         }
         if position::begins_era(self.end_offset, end_offset) {
+            self.restore = Some(Restore { copy_end: end_offset, seen_at: now });
             self.regained_at = Some(now);
         }
         self.end_offset = end_offset;
         Ok(())
     }
 
+    /// Whether an entry with this `stamp` was written before the newest one that is known of its
+    /// process, or before the process was removed, as an entry of the copy that the store was
+    /// restored from may be. It would undo a drain, a removal or a change of group.
+    pub fn is_superseded(&self, id: &str, record: &Record, stamp: Stamp) -> bool {
+        if self.restore.is_none_or(|restore| stamp.position >= restore.copy_end) {
+            return false;
+        }
+        match self.by_id(id) {
+            Some(known) if known.record.started_ms == record.started_ms => {
+                match stamp.heartbeat_count.zip(known.heartbeat_count) {
+                    Some((count, known_count)) => count < known_count,
+                    None => (known.record.phase, record.phase) == (Phase::Draining, Phase::Ready),
+                }
+            }
+            Some(_) => false,
+            None => self.removals.iter().any(|removal| {
+                let counts = stamp.heartbeat_count.zip(removal.heartbeat_count);
+                removal.id == id
+                    && removal.started_ms >= record.started_ms
+                    && counts.is_none_or(|(count, known_count)| count <= known_count)
+            }),
+        }
+    }
+
+    /// Records the count of heartbeats in the newest entry of a server that was read from the store.
+    pub fn record_heartbeats(&mut self, id: &str, count: Option<u64>) {
+        if let Some(server) = self.servers.by_name_mut(id) {
+            server.heartbeat_count = server.heartbeat_count.max(count);
+        }
+    }
+
+    /// Whether the whole list must be read again, as the store no longer lists entries of the copy
+    /// that nobody writes again. True once after each restore.
+    pub fn take_reread(&mut self, now: Instant) -> bool {
+        self.restore.take_if(|it| now.since(it.seen_at) >= COPY_TIMEOUT).is_some()
+    }
+
     /// Changes since `revision`. All servers are returned if `revision` is 0 or older than the kept
     /// removals. Missing servers count as removed: a receiver that has had contact to the store all
     /// the time knows that they are gone, and any other one keeps them on its own account.
     pub fn changes(&self, revision: u64) -> Changes {
         let is_whole = revision == 0 || revision < self.compacted_revision;
         let is_new = |server: &&Server| is_whole || server.changed_revision > revision;
-        let removals = self.removals.iter().filter(|(at, _)| !is_whole && *at > revision);
+        let removals = self.removals.iter().filter(|it| !is_whole && it.revision > revision);
         let is_listed = |server: &&Server| server.missing_since.is_none();
         let record = |server: &Server| (server.id.clone(), server.record.clone());
         let listed = self.iter().map(|(_, it)| it).filter(is_listed);
@@ -297,7 +375,7 @@
             is_whole,
             changed: listed.filter(is_new).map(record).collect(),
             gone: removals
-                .map(|(_, id)| id.clone())
+                .map(|it| it.id.clone())
                 .filter(|id| self.servers.by_name(id).is_none_or(|it| it.missing_since.is_some()))
                 .collect(),
         }
@@ -307,7 +385,7 @@
     fn delete(&mut self, id: &str, now: Instant) {
         if let Some(server) = self.servers.remove(id) {
             self.keep_notice(&server, now);
-            self.record_removal(id);
+            self.record_removal(&server);
         }
     }
 
@@ -355,17 +433,24 @@
         let Some(server) = self.servers.by_name_mut(id) else { return };
         if server.missing_since.is_none() {
             server.missing_since = Some(now);
-            self.record_removal(id);
+            let server = server.clone();
+            self.record_removal(&server);
         }
     }
 
     /// Records a removal for [`Roster::changes`].
-    fn record_removal(&mut self, id: &str) {
+    fn record_removal(&mut self, server: &Server) {
         self.revision += 1;
-        self.removals.push((self.revision, id.into()));
+        self.removals.push(Removal {
+            revision: self.revision,
+            id: server.id.clone(),
+            started_ms: server.record.started_ms,
+            heartbeat_count: server.heartbeat_count,
+        });
         if self.removals.len() > MAX_REMOVALS {
             let dropped = self.removals.drain(..MAX_REMOVALS / 2).next_back();
-            self.compacted_revision = dropped.map_or(self.compacted_revision, |(at, _)| at);
+            self.compacted_revision =
+                dropped.map_or(self.compacted_revision, |removal| removal.revision);
         }
     }
 
@@ -466,6 +551,7 @@
                     changed_at: now,
                     missing_since: None,
                     notice: notice.unwrap_or_default(),
+                    heartbeat_count: None,
                     load: Load::default(),
                 };
                 self.servers.insert(id.into(), server);
--- a/crates/mgw-fleet/tests/entry.rs
+++ b/crates/mgw-fleet/tests/entry.rs
@@ -311,3 +311,24 @@
     table.apply_leader(301, Leader { entry: "b".into(), incarnation: 2 });
     assert_eq!(table.term(), Some(term), "a record from before the restore");
 }
+
+/// Guards against a directory that names an entry which drains, or an earlier process of it, as the
+/// copy that the store was restored from has an older heartbeat.
+#[test]
+fn heartbeats_of_the_copy_do_not_undo_newer_ones() {
+    let mut table = Table::default();
+    table.advance(500, at(1_000));
+    table.apply(&heartbeat_key("a"), 498, heartbeat_record(2, Phase::Draining), at(1_000));
+    table.record_read(at(1_000));
+    table.advance(restored(20), at(1_500));
+    for (key, position) in [("a", 10), ("c", 11)] {
+        let copied = heartbeat_record(1, Phase::Serving);
+        table.apply(&heartbeat_key(key), restored(position), copied, at(1_500));
+    }
+    let names = |table: &Table| -> Vec<String> {
+        table.serving().map(|(name, _)| name.to_string()).collect()
+    };
+    assert_eq!(names(&table), ["c"], "c was not known");
+    table.apply(&heartbeat_key("a"), restored(20), heartbeat_record(3, Phase::Serving), at(1_600));
+    assert_eq!(names(&table), ["a", "c"]);
+}
--- a/crates/mgw-fleet/tests/roster.rs
+++ b/crates/mgw-fleet/tests/roster.rs
@@ -7,7 +7,7 @@
 use mgw_fleet::group;
 use mgw_fleet::plan::Planner;
 use mgw_fleet::position::{FIRST_ERA, Position};
-use mgw_fleet::roster::{Membership, Outdated, Phase, Roster, Stage};
+use mgw_fleet::roster::{Membership, Outdated, Phase, Record, Roster, Stage, Stamp};
 
 /// Guards against live servers that are dropped because the store did not receive their heartbeats
 /// during an outage.
@@ -228,3 +228,46 @@
     roster.tick(at(3_200));
     assert!(roster.by_id("a").is_some() && roster.by_id("b").is_none());
 }
+
+/// Guards against requests to a server that leaves or has left, and against groups that are over, as
+/// the copy that the store was restored from shows what was before.
+#[test]
+fn entries_of_the_copy_do_not_undo_newer_ones() {
+    let mut roster = Roster::default();
+    let stamp = |position, count| Stamp { position, heartbeat_count: count };
+    roster.advance(500, at(0)).expect("the first list");
+    for id in ["draining", "removed"] {
+        roster.upsert(id, record(0), at(0));
+        roster.record_heartbeats(id, Some(9));
+    }
+    roster.upsert("draining", Record { phase: Phase::Draining, ..record(0) }, at(0));
+    roster.remove("removed", at(0));
+    let (ready, restarted) = (record(0), Record { started_ms: 2, ..record(0) });
+    let older = stamp(restored(10), Some(8));
+    assert!(!roster.is_superseded("removed", &ready, stamp(499, Some(9))), "no restore yet");
+    roster.advance(restored(20), at(1_000)).expect("the restored list");
+    for id in ["draining", "removed"] {
+        assert!(roster.is_superseded(id, &ready, older), "{id}");
+        assert!(roster.is_superseded(id, &ready, stamp(restored(10), None)), "{id}, without count");
+        assert!(!roster.is_superseded(id, &ready, stamp(restored(10), Some(10))), "{id} goes on");
+        assert!(!roster.is_superseded(id, &ready, stamp(restored(20), Some(8))), "{id}, later");
+        assert!(!roster.is_superseded(id, &restarted, older), "{id} has started again");
+    }
+    assert!(!roster.is_superseded("unknown", &ready, older));
+}
+
+/// Guards against a live server that is left out for good: it was removed, then the store was
+/// restored, and it does not write its entry again as the copy has it unchanged.
+#[test]
+fn the_list_is_read_again_once_a_restored_store_has_dropped_dead_servers() {
+    let mut roster = Roster::default();
+    roster.advance(500, at(0)).expect("the first list");
+    roster.upsert("a", record(0), at(0));
+    roster.remove("a", at(0));
+    roster.advance(restored(20), at(1_000)).expect("the restored list");
+    assert!(!roster.take_reread(at(5_799)));
+    assert!(roster.take_reread(at(5_800)));
+    assert!(!roster.take_reread(at(9_000)), "once");
+    let copied = Stamp { position: restored(10), heartbeat_count: None };
+    assert!(!roster.is_superseded("a", &record(0), copied));
+}
--- a/crates/mgw-gateway/src/feed/follower.rs
+++ b/crates/mgw-gateway/src/feed/follower.rs
@@ -249,10 +249,10 @@
 /// Applies changes of the servers. A list that is older than the known one is discarded; the reader
 /// sends another one once it has caught up.
 fn apply_servers(state: &mut State, servers: Servers, origin: Origin<'_>, now: Instant) {
-    let listed = servers
-        .changed
-        .into_iter()
-        .map(|(id, record)| (SmolStr::from(id), Change::Listed(Box::new(record))));
+    let listed = servers.changed.into_iter().map(|(id, record)| {
+        let change = Change::Listed { record: Box::new(record), stamp: None };
+        (SmolStr::from(id), change)
+    });
     let removed = servers.gone.into_iter().map(|id| (SmolStr::from(id), Change::Removed));
     let listing = Listing {
         end_offset: servers.end_offset,
--- a/crates/mgw-gateway/src/servers.rs
+++ b/crates/mgw-gateway/src/servers.rs
@@ -4,7 +4,7 @@
 use mgw_base::time::Instant;
 use mgw_event::Kind;
 use mgw_event::event::Body;
-use mgw_fleet::roster::{Outdated, Phase, Record};
+use mgw_fleet::roster::{Outdated, Phase, Record, Stamp};
 use smol_str::SmolStr;
 
 use crate::gateway::State;
@@ -43,7 +43,12 @@
 #[derive(Clone, Debug)]
 pub enum Change {
     /// The server is listed with this record.
-    Listed(Box<Record>),
+    Listed {
+        /// The record.
+        record: Box<Record>,
+        /// How new it is; `None` if a reader sent it.
+        stamp: Option<Stamp>,
+    },
     /// The server is listed, but its record cannot be decoded. What was known of it holds on.
     Unreadable,
     /// The server's record was removed.
@@ -86,8 +91,12 @@
     let mut ids: Vec<SmolStr> = Vec::new();
     for (id, change) in changes {
         match change {
-            Change::Listed(record) => {
-                upsert(state, &id, *record, origin, now);
+            Change::Listed { record, stamp } => {
+                if !stamp.is_some_and(|stamp| state.roster.is_superseded(&id, &record, stamp)) {
+                    upsert(state, &id, *record, origin, now);
+                    let heartbeat_count = stamp.and_then(|stamp| stamp.heartbeat_count);
+                    state.roster.record_heartbeats(&id, heartbeat_count);
+                }
                 ids.push(id);
             }
             Change::Unreadable => ids.push(id),
--- a/crates/mgw-gateway/src/topics.rs
+++ b/crates/mgw-gateway/src/topics.rs
@@ -9,7 +9,7 @@
 use mgw_fleet::entry::{self, Role};
 use mgw_fleet::feed::Document;
 use mgw_fleet::position::Position;
-use mgw_fleet::roster::Outdated;
+use mgw_fleet::roster::{Outdated, Stamp};
 use platform::store::{self, Call, Record};
 use smol_str::SmolStr;
 
@@ -129,6 +129,9 @@
             continue;
         }
         let sent_at = clock::now();
+        if topic == Topic::Servers && gateway.with(|state| state.roster.take_reread(sent_at)) {
+            next = None;
+        }
         match read_next(&gateway, &mut client, topic, next, sent_at).await {
             Ok(update) => {
                 if std::mem::take(&mut failures) > 0 {
@@ -348,9 +351,15 @@
 /// The records are older than the known list, which this entry got from a reader in the meantime.
 fn apply_servers(state: &mut State, update: Update, now: Instant) -> Result<(), Outdated> {
     let mut changes = Vec::with_capacity(update.records.len());
-    for record in update.records {
+    for record in &update.records {
         let change = match record.value.as_deref().map(platform::server::parse_entry) {
-            Some(Ok(entry)) => Change::Listed(Box::new(entry)),
+            Some(Ok(entry)) => Change::Listed {
+                record: Box::new(entry.record),
+                stamp: Some(Stamp {
+                    position: update.position(record),
+                    heartbeat_count: entry.heartbeat_count,
+                }),
+            },
             Some(Err(error)) => {
                 let event = Body::new(Kind::RecordUnreadable).instance(&record.key).text(error);
                 state.journal.record(event);
@@ -358,7 +367,7 @@
             }
             None => Change::Removed,
         };
-        changes.push((record.key, change));
+        changes.push((record.key.clone(), change));
     }
     let listing = Listing {
         end_offset: update.next.pack(),
--- a/crates/mgw-gateway/tests/common/mod.rs
+++ b/crates/mgw-gateway/tests/common/mod.rs
@@ -46,7 +46,7 @@
             started_ms: 1,
             engine: None,
         };
-        ((*id).into(), Change::Listed(Box::new(record)))
+        ((*id).into(), Change::Listed { record: Box::new(record), stamp: None })
     };
     let changes = servers.iter().map(change).collect();
     Listing { end_offset, read_at: None, is_whole: true, changes }
