Keep a drain that a reader has told when the store is restored

After a restore, an entry of the copy with the same count or a higher one would have undone the drain.

The count now belongs to the newest known entry, and is unknown for one that a reader sent; a copied entry then never undoes a drain. It is also no longer taken from an entry of an earlier process of the same id. The test entries_of_the_copy_do_not_undo_newer_ones has the case.

--- a/crates/mgw-fleet/src/entry.rs
+++ b/crates/mgw-fleet/src/entry.rs
@@ -235,8 +235,8 @@
     }
 
     /// Handles the entries that an older record of the writer `source` listed and the one at
-    /// `position` does not. They count as seen when they last wrote a record of their own, as the writer goes on
-    /// listing a follower for a while after it has left.
+    /// `position` does not. They count as seen when they last wrote a record of their own, as the
+    /// writer goes on listing a follower for a while after it has left.
     fn delist(&mut self, source: &SmolStr, followers: &[Member], position: u64) {
         self.entries.retain(|name, entry| {
             let is_listed = name == source || followers.iter().any(|it| name == &it.name);
--- a/crates/mgw-fleet/src/feed.rs
+++ b/crates/mgw-fleet/src/feed.rs
@@ -50,8 +50,9 @@
     pub name: String,
     /// Time of sending in microseconds on the follower's clock.
     pub timestamp: u64,
-    /// Position up to which the follower knows the servers' topic; see [`crate::position`]. A reader that has read less sends
-    /// no data, so that the follower never replaces its list of servers by an older one.
+    /// Position up to which the follower knows the servers' topic; see [`crate::position`]. A reader
+    /// that has read less sends no data, so that the follower never replaces its list of servers by
+    /// an older one.
     pub end_offset: u64,
     /// The follower's heartbeat, if it changed since the previous poll.
     pub heartbeat: Option<Heartbeat>,
--- a/crates/mgw-fleet/src/roster.rs
+++ b/crates/mgw-fleet/src/roster.rs
@@ -145,8 +145,8 @@
     pub missing_since: Option<Instant>,
     /// What its process has stated in its responses.
     pub notice: Notice,
-    /// Number of heartbeats that the process had sent when it wrote the newest entry that was read
-    /// from the store; `None` if none was.
+    /// Number of heartbeats that the process had sent when it wrote the newest known entry; `None` if
+    /// that came from a reader, which does not tell it.
     heartbeat_count: Option<u64>,
     /// Load of the server as this process knows it.
     pub load: Load,
@@ -347,10 +347,14 @@
         }
     }
 
-    /// Records the count of heartbeats in the newest entry of a server that was read from the store.
-    pub fn record_heartbeats(&mut self, id: &str, count: Option<u64>) {
-        if let Some(server) = self.servers.by_name_mut(id) {
-            server.heartbeat_count = server.heartbeat_count.max(count);
+    /// Records the count of heartbeats in the newest entry of the process that started at
+    /// `started_ms`.
+    pub fn record_heartbeats(&mut self, id: &str, started_ms: u64, count: Option<u64>) {
+        match self.servers.by_name_mut(id) {
+            Some(server) if server.record.started_ms == started_ms => {
+                server.heartbeat_count = count;
+            }
+            Some(_) | None => {}
         }
     }
 
--- a/crates/mgw-fleet/tests/roster.rs
+++ b/crates/mgw-fleet/tests/roster.rs
@@ -238,7 +238,7 @@
     roster.advance(500, at(0)).expect("the first list");
     for id in ["draining", "removed"] {
         roster.upsert(id, record(0), at(0));
-        roster.record_heartbeats(id, Some(9));
+        roster.record_heartbeats(id, 1, Some(9));
     }
     roster.upsert("draining", Record { phase: Phase::Draining, ..record(0) }, at(0));
     roster.remove("removed", at(0));
@@ -254,6 +254,12 @@
         assert!(!roster.is_superseded(id, &restarted, older), "{id} has started again");
     }
     assert!(!roster.is_superseded("unknown", &ready, older));
+    // A reader tells that a server drains, without its count of heartbeats.
+    roster.upsert("told", record(0), at(1_000));
+    roster.record_heartbeats("told", 1, Some(4));
+    roster.upsert("told", Record { phase: Phase::Draining, ..record(0) }, at(1_100));
+    roster.record_heartbeats("told", 1, None);
+    assert!(roster.is_superseded("told", &ready, stamp(restored(10), Some(5))));
 }
 
 /// Guards against a live server that is left out for good: it was removed, then the store was
--- a/crates/mgw-gateway/src/servers.rs
+++ b/crates/mgw-gateway/src/servers.rs
@@ -93,9 +93,10 @@
         match change {
             Change::Listed { record, stamp } => {
                 if !stamp.is_some_and(|stamp| state.roster.is_superseded(&id, &record, stamp)) {
+                    let started_ms = record.started_ms;
                     upsert(state, &id, *record, origin, now);
-                    let heartbeat_count = stamp.and_then(|stamp| stamp.heartbeat_count);
-                    state.roster.record_heartbeats(&id, heartbeat_count);
+                    let count = stamp.and_then(|stamp| stamp.heartbeat_count);
+                    state.roster.record_heartbeats(&id, started_ms, count);
                 }
                 ids.push(id);
             }
