Do not take an instance for lost after a moment of silence

Callers: the streams of a sound group were cut, as the planner ordered its members to leave while its head was silent for about a second.

Cause: two probes without a reply, 250 ms apart, made an instance lost, 1 s after its last sign of life. Evidence: a_group_with_a_silent_head_is_not_dissolved had two orders to leave after a silence of 1.3 s, now none. An instance is now lost if it has replied to no probe for 0.9 s after the first failed one, about 1.5 s in all; a refused connection still counts at once.

--- a/crates/mgw-fleet/src/plan/liveness.rs
+++ b/crates/mgw-fleet/src/plan/liveness.rs
@@ -19,8 +19,9 @@
 /// Minimum time between two probes of an instance whose group waits for the effect of an order.
 const TRANSITION_PROBE_INTERVAL: Duration = Duration::from_millis(120);
 
-/// Consecutive probes without a reply after which an instance counts as lost.
-const FAILED_PROBE_LIMIT: u8 = 2;
+/// Time from the first failed probe of several without a reply after which an instance counts as
+/// lost. A sound instance may be silent for a second or so.
+const SILENCE_TIMEOUT: Duration = Duration::from_millis(900);
 
 /// Time after which a suspicion expires. An instance that replied to a probe within this time is
 /// not probed for a suspicion.
@@ -43,8 +44,11 @@
 struct Instance {
     /// Start time of the process that the other fields refer to.
     started_ms: u64,
-    /// Consecutive probes without a reply.
-    failures: u8,
+    /// When the first of the consecutive probes without a reply failed; `None` if the newest
+    /// probe was answered.
+    unanswered_since: Option<Instant>,
+    /// Whether it counts as lost: it has been silent for too long, or its address refused a probe.
+    is_lost: bool,
     /// When the newest probe was requested; cleared by an order so that the next one is due at
     /// once.
     last_probe: Option<Instant>,
@@ -54,6 +58,19 @@
     last_answer: Option<Instant>,
 }
 
+impl Instance {
+    /// Whether the newest probe was refused or not answered.
+    fn has_failed(&self) -> bool {
+        self.is_lost || self.unanswered_since.is_some()
+    }
+
+    /// Records a sign of life.
+    fn clear(&mut self) {
+        self.unanswered_since = None;
+        self.is_lost = false;
+    }
+}
+
 /// Probe state of all engines, by instance id.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Liveness {
@@ -66,11 +83,14 @@
         let Some(instance) = self.instances.get_mut(&SmolStr::new(id)) else { return };
         match probe {
             ProbeResult::Alive => {
-                instance.failures = 0;
+                instance.clear();
                 instance.last_answer = Some(now);
             }
-            ProbeResult::Refused => instance.failures = FAILED_PROBE_LIMIT,
-            ProbeResult::Silent => instance.failures = instance.failures.saturating_add(1),
+            ProbeResult::Refused => instance.is_lost = true,
+            ProbeResult::Silent => {
+                let since = *instance.unanswered_since.get_or_insert(now);
+                instance.is_lost |= now.since(since) >= SILENCE_TIMEOUT;
+            }
         }
     }
 
@@ -86,10 +106,10 @@
         self.instances.get_or_insert_with(id.clone(), Instance::default).suspected_at = Some(now);
     }
 
-    /// Whether an instance failed to reply to [`FAILED_PROBE_LIMIT`] consecutive probes, or its
-    /// address refused one.
+    /// Whether an instance has replied to no probe for [`SILENCE_TIMEOUT`], or its address refused
+    /// one.
     pub(super) fn is_lost(&self, id: &SmolStr) -> bool {
-        self.instances.get(id).is_some_and(|instance| instance.failures >= FAILED_PROBE_LIMIT)
+        self.instances.get(id).is_some_and(|instance| instance.is_lost)
     }
 
     /// Returns the probes that are due and records them as sent.
@@ -130,7 +150,7 @@
     let is_late = now.since(server.last_seen) > HEARTBEAT_TIMEOUT;
     let was_seen = instance.last_probe.is_some_and(|last_probe| server.last_seen > last_probe);
     if !is_late && was_seen {
-        instance.failures = 0;
+        instance.clear();
     }
     let is_suspected = instance.suspected_at.is_some_and(|at| now.since(at) < SUSPICION_TIMEOUT)
         && instance.last_answer.is_none_or(|at| now.since(at) > SUSPICION_TIMEOUT);
@@ -139,7 +159,7 @@
         instance.last_probe.is_some_and(|last_probe| now.since(last_probe) < interval);
     let is_unknown = server.order_count.is_none();
     let has_cause =
-        is_late || is_suspected || is_unknown || is_transitioning || instance.failures > 0;
+        is_late || is_suspected || is_unknown || is_transitioning || instance.has_failed();
     let is_due = has_cause && !was_just_probed;
     if is_due {
         instance.last_probe = Some(now);
