--- a/crates/mgw-gateway/tests/notice.rs
+++ b/crates/mgw-gateway/tests/notice.rs
@@ -12,13 +12,20 @@
 use mgw_gateway::notice;
 use mgw_gateway::servers::{self, Origin};
 use mgw_http::head;
-use platform::header;
+use platform::header::ResponseMetadata;
+use smol_str::SmolStr;
 
-/// Records the response `text` as one of the server `a`.
-fn record(state: &mut State, text: &str) {
+/// Records a 421 of a process that is leaving, sent by the server `a` or another one at its address;
+/// it names `instance`.
+fn record_misdirected(state: &mut State, instance: Option<&str>) {
+    let text = "HTTP/1.1 421 Other\r\n\r\n";
     let response = head::parse_response(&mut BytesMut::from(text), 4_096).expect("valid");
     let response = response.expect("the head is complete");
-    let metadata = header::parse_response_metadata(&response);
+    let metadata = ResponseMetadata {
+        is_leaving: true,
+        faulty_instance: instance.map(SmolStr::from),
+        ..ResponseMetadata::default()
+    };
     let process = Process { id: "a".into(), started_ms: 1 };
     notice::record(state, &process, &response, &metadata);
 }
@@ -44,11 +51,11 @@
 fn misdirected_requests_tell_nothing_of_the_server() {
     with_state(|state| {
         let phase = |state: &State| state.roster.by_id("a").map(|server| server.phase());
-        for fields in ["", "At-Server: b\r\n"] {
-            record(state, &format!("HTTP/1.1 421 Other\r\nServer-Leaving: 1\r\n{fields}\r\n"));
-            assert_eq!(phase(state), Some(Phase::Ready), "{fields}");
+        for instance in [None, Some("b")] {
+            record_misdirected(state, instance);
+            assert_eq!(phase(state), Some(Phase::Ready), "{instance:?}");
         }
-        record(state, "HTTP/1.1 421 Other\r\nServer-Leaving: 1\r\nAt-Server: a\r\n\r\n");
+        record_misdirected(state, Some("a"));
         assert_eq!(phase(state), Some(Phase::Draining));
     });
 }
--- a/crates/mgw-http/tests/head.rs
+++ b/crates/mgw-http/tests/head.rs
@@ -91,8 +91,8 @@
 /// the response that follows it on the connection.
 #[test]
 fn rejects_a_cut_head_that_is_followed_by_a_response() {
-    let first = "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nRetry-After: 1\r\n\r\n";
-    let second = "HTTP/1.1 200 OK\r\nAttempt-Id: a\r\nContent-Length: 0\r\n\r\n";
+    let first = "HTTP/1.1 503 Service Unavailable\r\nRefused: 1\r\nRetry-After: 1\r\n\r\n";
+    let second = "HTTP/1.1 200 OK\r\nRequest-Id: a\r\nContent-Length: 0\r\n\r\n";
     for end in 1..first.len() {
         let text = format!("{}{second}", &first[..end]);
         assert!(response(&text).is_err(), "{text}");
