--- a/crates/mgw-gateway/src/forward.rs
+++ b/crates/mgw-gateway/src/forward.rs
@@ -304,13 +304,11 @@
 
     /// What to do after an answer with `status`; `None` if the caller gets it.
     fn next_after_answer(&mut self, status: u16) -> Option<Next> {
+        let may_go_on = !self.suspended.is_empty() || self.route().kind == Kind::Idempotent;
         match status {
-            500..=503 | 505.. if !self.suspended.is_empty() => {
-                self.next_after(Failure::ConnectionLost)
-            }
-            500..=503 | 505.. if self.route().kind == Kind::Idempotent => {
-                self.next_after(Failure::ConnectionLost)
-            }
+            // 504 Gateway Timeout: no time is left.
+            504 => None,
+            500.. if may_go_on => self.next_after(Failure::ConnectionLost),
             _ => None,
         }
     }
