Read the store without waiting after a failed read

Beside load, an_entry_that_was_cut_off_during_a_restore_skips_no_version failed in 3 of 8 runs: after its failed reads, the entry's first read of the topic was held by the store for 0.7 s, as the restored topic ended just where the read began, so the restore was seen that much later, after a retry delay of up to 1 s; the bound is 2 s.

The bounds of the tests are unchanged.

--- a/crates/mgw-gateway/src/topics.rs
+++ b/crates/mgw-gateway/src/topics.rs
@@ -133,7 +133,12 @@
         if topic == Topic::Servers && gateway.with(|state| state.roster.take_reread(sent_at)) {
             next = None;
         }
-        match read_next(&gateway, &mut client, topic, next, sent_at).await {
+        // The first read after a failed one does not wait, as the store may have been restored.
+        let wait = match failures {
+            0 => topic.long_poll_timeout(),
+            _ => Duration::ZERO,
+        };
+        match read_next(&gateway, &mut client, topic, next, wait, sent_at).await {
             Ok(update) => {
                 if std::mem::take(&mut failures) > 0 {
                     gateway.record(Body::new(Kind::StoreRegained).text(topic.name()));
@@ -214,16 +219,17 @@
     }
 }
 
-/// Reads the records from position `next` on, or a snapshot if there is none.
+/// Reads the records from position `next` on, or a snapshot if there is none. The store may hold the
+/// read for up to `wait` until there is a record.
 async fn read_next(
     gateway: &Gateway,
     client: &mut Client,
     topic: Topic,
     next: Option<Position>,
+    wait: Duration,
     sent_at: Instant,
 ) -> Result<Update, Error> {
     let Some(next) = next else { return read_snapshot(gateway, client, topic, sent_at).await };
-    let wait = topic.long_poll_timeout();
     let response = client.call(&store::read(topic.name(), next.offset, wait), wait).await?;
     check_era(gateway, response.era, Some(next.era))?;
     let batch = store::parse_batch(response.body, next.offset).map_err(decode_error)?;
