Tell followers of a restore that changes no server

Found by a review, shown with ten gateways: 8 s after a restore that changed no entry, a follower kept a removed server for 2,583 ms where readers took at most 349 ms (drains are bound by 2,000 ms). Cause: a reader sends its list only when it has changed, so the follower learned of the new era with the removal itself, and took this for due to the restore. Readers now send the new end of the list at once; the test for it failed before.

--- a/crates/mgw-fleet/src/feed.rs
+++ b/crates/mgw-fleet/src/feed.rs
@@ -18,6 +18,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::entry::{Heartbeat, Leader, Member};
+use crate::position;
 use crate::roster::{Changes, Record, Roster};
 
 /// Version of the encoding, sent with each message.
@@ -128,7 +129,11 @@
     /// Returns the changes that were not sent yet, and counts them as sent. `None` if there are
     /// none or if the follower's list may be newer.
     pub fn next_changes(&mut self, roster: &Roster) -> Option<Servers> {
-        if self.is_behind(roster) || self.revision == roster.revision() {
+        // A restore of the store is told even if it has changed nothing: the follower has to know when
+        // entries may be missing because of it.
+        let is_news = self.revision != roster.revision()
+            || position::begins_era(self.sent_end, roster.end_offset());
+        if self.is_behind(roster) || !is_news {
             return None;
         }
         let changes = roster.changes(self.revision);
--- a/crates/mgw-fleet/tests/feed.rs
+++ b/crates/mgw-fleet/tests/feed.rs
@@ -138,6 +138,27 @@
     assert!(!progress.is_behind(&roster), "the store has lost what the follower knows");
 }
 
+/// Guards against a follower that learns of a restore only with the next removal, and keeps the
+/// removed server for a while, as if it were due to the restore.
+#[test]
+fn readers_tell_a_restore_that_changes_nothing() {
+    let restored = |offset| Position { era: FIRST_ERA + 1, offset }.pack();
+    let mut roster = Roster::default();
+    roster.advance(500, at(0)).expect("the first list");
+    roster.upsert("i1", record(0), at(0));
+    let mut progress = Progress::default();
+    progress.record_poll(0);
+    assert!(progress.next_changes(&roster).is_some());
+    roster.advance(restored(20), at(1_000)).expect("the restored list");
+    roster.upsert("i1", record(0), at(1_000));
+    progress.record_poll(500);
+    let told = progress.next_changes(&roster).expect("the restore is told");
+    assert_eq!(told.end_offset, restored(20));
+    assert!(!told.is_whole && told.changed.is_empty() && told.gone.is_empty());
+    progress.record_poll(restored(20));
+    assert_eq!(progress.next_changes(&roster), None, "it is told once");
+}
+
 /// Guards against followers that keep servers which were removed, or never learn of new ones.
 #[test]
 fn changes_contain_each_addition_and_removal() {
