Let no list of a copy undo what is known from before the restore

Found by a review; entries of a removed or draining server came back, with requests to it as the consequence: - a process that had started after the restore did not know that its store's list may be of a copy, and listed a removed server again (shown in the log of ten gateways); - a reader that knows only the copy told its follower that a draining or removed server is ready; - an entry of the copy undid a change of group that a reader had told without a count of heartbeats. Each has a test that failed before. While the restore is recent, none of these is applied to a process that is known; what its process writes afterwards is.

--- a/crates/mgw-fleet/src/position.rs
+++ b/crates/mgw-fleet/src/position.rs
@@ -52,3 +52,8 @@
 pub fn begins_era(older: u64, newer: u64) -> bool {
     older > 0 && Position::unpack(older).era < Position::unpack(newer).era
 }
+
+/// Whether the packed position `packed` is of an era that began with a restore.
+pub fn is_after_restore(packed: u64) -> bool {
+    Position::unpack(packed).era > FIRST_ERA
+}
--- a/crates/mgw-fleet/src/roster.rs
+++ b/crates/mgw-fleet/src/roster.rs
@@ -139,6 +139,8 @@
 struct Restore {
     /// Position in the servers' topic before which records may be of the copy.
     copy_end: u64,
+    /// Revision of the roster when the restore was seen.
+    revision: u64,
     /// When the restore was seen.
     seen_at: Instant,
 }
@@ -200,10 +202,15 @@
         if end_offset < self.end_offset {
             return Err(Outdated { end_offset, known_end: self.end_offset });
         }
-        if position::begins_era(self.end_offset, end_offset) {
-            self.restore = Some(Restore { copy_end: end_offset, seen_at: now });
+        let is_restored = position::begins_era(self.end_offset, end_offset);
+        if is_restored {
             self.regained_at = Some(now);
         }
+        // A process that starts in a later era may begin with the list of the copy.
+        if is_restored || self.end_offset == 0 && position::is_after_restore(end_offset) {
+            let revision = self.revision;
+            self.restore = Some(Restore { copy_end: end_offset, revision, seen_at: now });
+        }
         self.end_offset = end_offset;
         Ok(())
     }
@@ -217,10 +224,10 @@
         }
         match self.by_id(id) {
             Some(known) if known.record.started_ms == record.started_ms => {
-                match stamp.heartbeat_count.zip(known.heartbeat_count) {
-                    Some((count, known_count)) => count < known_count,
-                    None => (known.record.phase, record.phase) == (Phase::Draining, Phase::Ready),
-                }
+                // Without both counts, what is known holds until the process writes another entry or
+                // the list is read again.
+                let counts = stamp.heartbeat_count.zip(known.heartbeat_count);
+                counts.is_none_or(|(count, known_count)| count < known_count)
             }
             Some(_) => false,
             None => self.removals.iter().any(|removal| {
@@ -232,6 +239,23 @@
         }
     }
 
+    /// Whether a record that a reader sends undoes a drain or a removal from before the restore that
+    /// was just seen. The reader may know only the copy that the store was restored from.
+    pub fn is_undone_by(&self, id: &str, record: &Record) -> bool {
+        let Some(restore) = self.restore else { return false };
+        match self.by_id(id) {
+            Some(known) => {
+                known.record.started_ms == record.started_ms
+                    && (known.record.phase, record.phase) == (Phase::Draining, Phase::Ready)
+            }
+            None => self.removals.iter().any(|removal| {
+                removal.id == id
+                    && removal.started_ms >= record.started_ms
+                    && removal.revision <= restore.revision
+            }),
+        }
+    }
+
     /// Records the count of heartbeats in the newest entry of the process that started at
     /// `started_ms`.
     pub fn record_heartbeats(&mut self, id: &str, started_ms: u64, count: Option<u64>) {
--- a/crates/mgw-fleet/tests/roster.rs
+++ b/crates/mgw-fleet/tests/roster.rs
@@ -229,12 +229,16 @@
     assert!(roster.by_id("a").is_some() && roster.by_id("b").is_none());
 }
 
+/// The stamp of an entry at `position` that states `heartbeat_count`.
+fn stamp(position: u64, heartbeat_count: Option<u64>) -> Stamp {
+    Stamp { position, heartbeat_count }
+}
+
 /// Guards against requests to a server that leaves or has left, and against groups that are over, as
 /// the copy that the store was restored from shows what was before.
 #[test]
 fn entries_of_the_copy_do_not_undo_newer_ones() {
     let mut roster = Roster::default();
-    let stamp = |position, count| Stamp { position, heartbeat_count: count };
     roster.advance(500, at(0)).expect("the first list");
     for id in ["draining", "removed"] {
         roster.upsert(id, record(0), at(0));
@@ -277,3 +281,51 @@
     let copied = Stamp { position: restored(10), heartbeat_count: None };
     assert!(!roster.is_superseded("a", &record(0), copied));
 }
+
+/// Guards against a process that starts after a restore and lists a removed server again, as it reads
+/// the entry of the copy after it has learned of the removal.
+#[test]
+fn a_process_that_starts_after_a_restore_keeps_removals() {
+    let mut roster = Roster::default();
+    roster.advance(restored(20), at(0)).expect("the first list");
+    roster.upsert("a", record(0), at(0));
+    roster.remove("a", at(100));
+    let copied = stamp(restored(10), Some(8));
+    assert!(roster.is_superseded("a", &record(0), copied), "the entry is of the copy");
+    let written_again = stamp(restored(30), Some(9));
+    assert!(!roster.is_superseded("a", &record(0), written_again), "the process lives");
+    assert!(roster.take_reread(at(5_000)), "the copy's entries have lapsed");
+}
+
+/// Guards against a reader that knows only the copy and undoes what its follower knows from before.
+#[test]
+fn readers_of_a_copy_undo_no_drain_and_no_removal() {
+    let mut roster = Roster::default();
+    roster.advance(500, at(0)).expect("the first list");
+    roster.record_read(at(0), at(0));
+    roster.upsert("draining", Record { phase: Phase::Draining, ..record(0) }, at(0));
+    roster.upsert("removed", record(0), at(0));
+    roster.remove("removed", at(100));
+    for id in ["draining", "removed"] {
+        assert!(!roster.is_undone_by(id, &record(0)), "no restore yet: {id}");
+    }
+    roster.advance(restored(20), at(1_000)).expect("the restored list");
+    for id in ["draining", "removed"] {
+        assert!(roster.is_undone_by(id, &record(0)), "{id}");
+    }
+    roster.upsert("lapsed", record(0), at(1_000));
+    roster.remove("lapsed", at(1_100));
+    assert!(!roster.is_undone_by("lapsed", &record(0)), "removed after the restore");
+}
+
+/// Guards against an entry of the copy that undoes a change of group, which a reader has told without
+/// a count of heartbeats.
+#[test]
+fn entries_of_a_copy_tell_nothing_of_a_process_with_an_unknown_count() {
+    let mut roster = Roster::default();
+    roster.advance(500, at(0)).expect("the first list");
+    roster.upsert("a", record(0), at(0));
+    roster.advance(restored(20), at(1_000)).expect("the restored list");
+    assert!(roster.is_superseded("a", &record(0), stamp(restored(10), Some(3))));
+    assert!(!roster.is_superseded("a", &record(0), stamp(restored(20), Some(9))));
+}
--- a/crates/mgw-gateway/src/servers.rs
+++ b/crates/mgw-gateway/src/servers.rs
@@ -92,7 +92,11 @@
     for (id, change) in changes {
         match change {
             Change::Listed { record, stamp } => {
-                if !stamp.is_some_and(|stamp| state.roster.is_superseded(&id, &record, stamp)) {
+                let is_outdated = match stamp {
+                    Some(stamp) => state.roster.is_superseded(&id, &record, stamp),
+                    None => state.roster.is_undone_by(&id, &record),
+                };
+                if !is_outdated {
                     let started_ms = record.started_ms;
                     upsert(state, &id, *record, origin, now);
                     let count = stamp.and_then(|stamp| stamp.heartbeat_count);
