Split the checker of the simulation into modules

The measurement of downtime and stranded accelerators moves to checker/measure.rs, the state of the groups to checker/group.rs and the summary for the report of a failed run to checker/summary.rs. `Measure` is re-exported at its old path.

--- a/crates/mgw-scenario/src/world/checker.rs
+++ b/crates/mgw-scenario/src/world/checker.rs
@@ -1,20 +1,24 @@
-//! Invariant checker: compares the entries' actions with the true state of the fakes, and measures
-//! group downtime and stranded accelerators.
+//! Invariant checker: compares the entries' actions with the true state of the fakes.
 
 use mgw_base::sorted::Map;
 use mgw_booking::outcome::Cause;
 use mgw_report::report::{Action, Order};
-use mgw_state::record::{Envelope, Mark};
+use mgw_state::record::Envelope;
 use mgw_state::state::{self, Change, Outcome, State};
 use smol_str::SmolStr;
 
 use super::entry::ProcessId;
 use super::link::Party;
 use super::log::Mode;
-use super::platform::Listed;
 use super::server::Relayed;
 use super::{MILLISECOND, Micros, SECOND, World};
 
+mod group;
+mod measure;
+mod summary;
+
+pub use measure::Measure;
+
 /// Upper bound on the violations kept; later ones are only traced and counted.
 const MAX_VIOLATIONS: usize = 200;
 
@@ -54,40 +58,6 @@
     pub text: String,
 }
 
-/// Group downtime and stranded accelerators over a part of a run.
-#[derive(Clone, Debug, Default, PartialEq)]
-pub struct Measure {
-    /// Measured time in seconds.
-    pub duration: f64,
-    /// Group-seconds of the wanted replicas that fit on the available instances.
-    pub wanted: f64,
-    /// Group-seconds of those replicas that did not serve, by cause.
-    pub downtime: Vec<(&'static str, f64)>,
-    /// Accelerator-seconds of the available instances.
-    pub on_hand: f64,
-    /// Accelerator-seconds of available instances that are in no serving group, by cause.
-    pub stranded: Vec<(&'static str, f64)>,
-}
-
-impl Measure {
-    fn add(list: &mut Vec<(&'static str, f64)>, cause: &'static str, amount: f64) {
-        match list.iter_mut().find(|(known, _)| *known == cause) {
-            Some((_, sum)) => *sum += amount,
-            None => list.push((cause, amount)),
-        }
-    }
-
-    /// Returns the group downtime over all causes, in group-seconds.
-    pub fn total_downtime(&self) -> f64 {
-        self.downtime.iter().map(|it| it.1).sum()
-    }
-
-    /// Returns the stranded accelerator-seconds over all causes.
-    pub fn total_stranded(&self) -> f64 {
-        self.stranded.iter().map(|it| it.1).sum()
-    }
-}
-
 /// Runs and reports of one booking key.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct BookingRecord {
@@ -139,16 +109,6 @@
         &self.checker.violations
     }
 
-    /// Returns the measurements since the start or the last [`World::reset_measure`].
-    pub fn measure(&self) -> &Measure {
-        &self.checker.measure
-    }
-
-    /// Resets the measurements.
-    pub fn reset_measure(&mut self) {
-        self.checker.measure = Measure::default();
-    }
-
     /// Returns the record of a booking, by the hash of its team, service and key.
     pub fn booking_record(&self, hash: u128) -> BookingRecord {
         self.checker.bookings.get(&hash).copied().unwrap_or_default()
@@ -422,195 +382,4 @@
             self.report_violation("I8", text);
         }
     }
-
-    /// Describes groups, engines and entries in plain text, for the report of a failed run.
-    pub fn summary(&self) -> Vec<String> {
-        let state = &self.checker.state;
-        let mut lines = vec![format!(
-            "term {} planner {:?} version {} log {}",
-            state.term().number,
-            self.planner().map(|it| self.entries[it].name.as_str()),
-            state.config().version,
-            self.log.next_offset
-        )];
-        for (id, group) in state.groups() {
-            let members: Vec<&str> = group.members.iter().map(|it| it.instance.as_str()).collect();
-            lines.push(format!(
-                "group {id} fence {} {} {} on {} whole {} open at {}",
-                group.fence,
-                group.model,
-                group.version,
-                members.join(" "),
-                self.is_group_complete(id),
-                self.servable_entry_count(id)
-            ));
-        }
-        for engine in &self.engines {
-            let known = state.instance(&engine.name);
-            let custody = known.and_then(|it| it.custody.as_ref());
-            let custody = custody.map(|it| (self.entry_of(it.executor), it.fence, it.drain));
-            lines.push(format!(
-                "{} boot {} alive {} holds {} fence {} ready {} custody {custody:?}",
-                engine.name,
-                engine.boot,
-                engine.absent_since.is_none(),
-                engine.assignment.group,
-                engine.assignment.fence,
-                engine.assignment.ready
-            ));
-        }
-        for (index, entry) in self.entries.iter().enumerate() {
-            let status = self.entry_status(index);
-            let applied = self.node(index).map_or(0, |node| node.state().applied());
-            lines.push(format!("{} {status:?} applied {applied}", entry.name));
-        }
-        lines
-    }
-
-    /// Returns whether no member of a group is dead, paused or isolated, and all are ready in it.
-    pub fn is_group_complete(&self, group: u64) -> bool {
-        let Some(group_state) = self.checker.state.group(group) else { return false };
-        group_state.members.iter().all(|member| {
-            let engine = self.engines.iter().find(|it| it.name == member.instance);
-            engine.is_some_and(|it| {
-                it.absent_since.is_none() && it.assignment.group == group && it.assignment.ready
-            })
-        })
-    }
-
-    /// Returns the number of unpaused entries that consider a group servable.
-    pub fn servable_entry_count(&self, group: u64) -> usize {
-        let open = |entry: &&super::entry::Entry| {
-            entry.process.as_ref().is_some_and(|it| !it.paused && it.node.is_servable(group))
-        };
-        self.entries.iter().filter(open).count()
-    }
-
-    /// Returns the number of serving groups of a model.
-    pub fn serving_group_count(&self, model: &str) -> usize {
-        let groups = self.checker.state.groups().filter(|(_, group)| group.model == model);
-        groups
-            .filter(|(id, _)| self.is_group_complete(*id) && self.servable_entry_count(*id) > 0)
-            .count()
-    }
-
-    /// Returns the group that an instance belongs to, and whether that group serves.
-    pub fn group_of(&self, instance: &str) -> Option<(u64, bool)> {
-        let assignment = self.checker.state.instance(instance)?.assignment?;
-        let id = assignment.group;
-        Some((id, self.is_group_complete(id) && self.servable_entry_count(id) > 0))
-    }
-
-    fn update_measure(&mut self, duration: f64) {
-        let state = &self.checker.state;
-        let Some(sheet) = state.config().sheet.clone() else { return };
-        let mut serving: Vec<u64> = Vec::new();
-        let mut causes: Vec<(u64, &'static str)> = Vec::new();
-        for (id, group) in state.groups() {
-            let cause = match (self.is_group_complete(id), self.servable_entry_count(id) > 0) {
-                (true, true) => {
-                    serving.push(id);
-                    continue;
-                }
-                (true, false) => "closed",
-                (false, _) => {
-                    let lost = group.members.iter().any(|member| {
-                        let engine = self.engines.iter().find(|it| it.name == member.instance);
-                        engine.is_none_or(|it| it.absent_since.is_some())
-                    });
-                    if lost { "member lost" } else { "loading" }
-                }
-            };
-            causes.push((id, cause));
-        }
-        let mut measure = std::mem::take(&mut self.checker.measure);
-        measure.duration += duration;
-        let state = &self.checker.state;
-        let mut pools: Vec<(usize, usize, SmolStr, u32)> = Vec::new();
-        for engine in &self.engines {
-            let declared = sheet.instances.binary_search_by(|it| it.name.cmp(&engine.name)).is_ok();
-            let on_hand =
-                declared && engine.absent_since.is_none() && engine.listed == Listed::Live;
-            if !on_hand {
-                continue;
-            }
-            let known = state.instance(&engine.name);
-            let amount = f64::from(engine.accelerators) * duration;
-            measure.on_hand += amount;
-            let group = known.and_then(|it| it.assignment).map(|it| it.group);
-            let marked = known.is_some_and(|it| it.mark != Mark::Clear);
-            let cause = match group {
-                Some(id) if serving.contains(&id) => None,
-                Some(id) => causes.iter().find(|it| it.0 == id).map(|it| it.1),
-                None if known.is_some_and(|it| it.custody.is_some()) => Some("custody"),
-                None if marked => Some("marked"),
-                None => Some("free"),
-            };
-            if let Some(cause) = cause {
-                Measure::add(&mut measure.stranded, cause, amount);
-            }
-            if marked {
-                continue;
-            }
-            let same = |it: &&mut (usize, usize, SmolStr, u32)| {
-                it.1 == engine.domain && it.2 == engine.accelerator
-            };
-            match pools.iter_mut().find(same) {
-                Some(pool) => pool.3 += 1,
-                None => pools.push((engine.zone, engine.domain, engine.accelerator.clone(), 1)),
-            }
-        }
-        let mut models: Vec<_> = sheet.models.iter().collect();
-        models.sort_by_key(|it| it.priority);
-        for model in models {
-            let mut feasible = 0;
-            for _ in 0..model.replicas {
-                if !reserve_instances(&mut pools, &model.accelerator, model.instances) {
-                    break;
-                }
-                feasible += 1;
-            }
-            let of_model = |id: &u64| state.group(*id).is_some_and(|it| it.model == model.name);
-            let served = serving.iter().filter(|id| of_model(id)).count();
-            let missing = (feasible as usize).saturating_sub(served);
-            measure.wanted += f64::from(feasible) * duration;
-            let mut open = causes.iter().filter(|it| of_model(&it.0));
-            for _ in 0..missing {
-                let cause = open.next().map_or("not formed", |it| it.1);
-                Measure::add(&mut measure.downtime, cause, duration);
-            }
-        }
-        self.checker.measure = measure;
-    }
-}
-
-/// Takes the instances of one replica out of the pools: from one fabric domain if one has enough,
-/// else from one zone. Returns false if neither has enough.
-fn reserve_instances(
-    pools: &mut [(usize, usize, SmolStr, u32)],
-    accelerator: &SmolStr,
-    instances: u32,
-) -> bool {
-    let fits = pools.iter_mut().filter(|it| it.2 == *accelerator && it.3 >= instances);
-    if let Some(pool) = fits.min_by_key(|it| it.3) {
-        pool.3 -= instances;
-        return true;
-    }
-    let mut zones: Vec<usize> = pools.iter().map(|it| it.0).collect();
-    zones.sort_unstable();
-    zones.dedup();
-    let in_zone =
-        |pool: &(usize, usize, SmolStr, u32), zone: usize| pool.0 == zone && pool.2 == *accelerator;
-    let found = zones.into_iter().find(|zone| {
-        let sum: u32 = pools.iter().filter(|it| in_zone(it, *zone)).map(|it| it.3).sum();
-        sum >= instances
-    });
-    let Some(zone) = found else { return false };
-    let mut rest = instances;
-    for pool in pools.iter_mut().filter(|it| in_zone(it, zone)) {
-        let taken = pool.3.min(rest);
-        pool.3 -= taken;
-        rest -= taken;
-    }
-    true
 }
