Split the calls of an entry into modules

The choice of a target and the connection to it move to call/attempt.rs, the handling of crashed targets and the quarantine to call/crash.rs and the recovery after a lost connection to call/recovery.rs, each with its constants. call.rs keeps the types, and admission, answers and the end of a call. Code is only moved, and visibility widened to the parent module where needed; nothing else changed.

--- a/crates/mgw-entry/src/call.rs
+++ b/crates/mgw-entry/src/call.rs
@@ -7,24 +7,15 @@
 use mgw_event::{Body, Kind};
 use mgw_route::eject::Change;
 use mgw_route::limit::{self, Permit};
-use mgw_route::quarantine::{InFlight, Status};
-use mgw_route::retry;
-use mgw_route::select::{self, Criteria, Destination, Id, Target};
-use mgw_route::stream::{self, Alternatives, Chunk, Completion, Disposition, Recovery};
-use mgw_state::record::Record;
-use mgw_wire::frame::{Blame, Item};
+use mgw_route::select::{self, Destination, Id, Target};
+use mgw_route::stream::{self, Chunk, Completion, Disposition};
 use smol_str::SmolStr;
 
 use crate::node::Node;
-use crate::outbox::Purpose;
 
-/// Time after a crash of a target within which further refused connections do not count as another
-/// crash.
-const CRASH_WINDOW: Duration = Duration::from_secs(5);
-
-/// Time after which a request that is suspected of crashing servers is tried again, if every target
-/// is running another suspect.
-const SUSPECT_RETRY_DELAY: Duration = Duration::from_millis(100);
+mod attempt;
+mod crash;
+mod recovery;
 
 /// Interval at which the time per token of an unfinished answer is measured.
 ///
@@ -32,9 +23,6 @@
 /// slower than the others was ejected after 30 s instead of 10 s.
 const PACE_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Assumed duration of another attempt, which must fit before the deadline.
-const EXPECTED_DURATION: Duration = Duration::from_millis(50);
-
 /// Retry hint to the caller while no target can take the call.
 const UNAVAILABLE_RETRY_AFTER: Duration = Duration::from_secs(2);
 
@@ -373,246 +361,6 @@
             self.events.push(body);
         }
     }
-
-    /// Whether a request is suspected of crashing servers; an error if it is quarantined.
-    fn check_quarantine(&self, now: Instant, request: &Request) -> Result<bool, Error> {
-        match self.quarantine.check(request.fingerprint, now) {
-            Status::Clear => Ok(false),
-            Status::Suspect => Ok(true),
-            Status::Quarantined { until } => {
-                Err(Error::Quarantined { retry_after: until.since(now) })
-            }
-        }
-    }
-
-    /// Selects a target that is not among `tried`.
-    fn choose(
-        &mut self,
-        now: Instant,
-        request: &Request,
-        tried: &[Key<Target>],
-        suspect: bool,
-    ) -> Result<select::Selection, Error> {
-        let criteria = Criteria {
-            destination: &request.destination,
-            adapter: request.adapter.as_deref(),
-            prefixes: &request.prefixes,
-            tried,
-            suspect,
-            can_probe: true,
-        };
-        self.targets.choose(&criteria, now, &mut self.random).map_err(|error| match error {
-            select::Error::NotServed if self.is_declared(request) => {
-                Error::Closed { retry_after: UNAVAILABLE_RETRY_AFTER }
-            }
-            select::Error::NotServed => Error::Unknown,
-            select::Error::NoneAvailable | select::Error::AllTried => {
-                Error::Closed { retry_after: UNAVAILABLE_RETRY_AFTER }
-            }
-            select::Error::AllRunSuspects => {
-                Error::Overloaded { retry_after: UNAVAILABLE_RETRY_AFTER }
-            }
-        })
-    }
-
-    /// Whether the sheet declares the model or service and the adapter of a request.
-    fn is_declared(&self, request: &Request) -> bool {
-        let Some(sheet) = self.reader.state().sheet() else { return false };
-        let adapted = request.adapter.as_ref().is_none_or(|adapter| {
-            sheet.adapters.binary_search_by(|it| it.name.cmp(adapter)).is_ok()
-        });
-        adapted
-            && match &request.destination {
-                Destination::Model(name) => {
-                    sheet.models.binary_search_by(|it| it.name.cmp(name)).is_ok()
-                }
-                Destination::Service(name) => {
-                    sheet.services.binary_search_by(|it| it.name.cmp(name)).is_ok()
-                }
-            }
-    }
-
-    /// Records that a call is sent to a target.
-    fn start_attempt(&mut self, now: Instant, call: Key<Call>, target: Key<Target>) {
-        let Some(active) = self.calls.get_mut(call) else { return };
-        active.target = target;
-        active.tried.push(target);
-        active.disconnected = false;
-        active.first_chunk = None;
-        let request = &active.request;
-        self.targets.start_request(target, active.number, active.suspect, &request.prefixes, now);
-        let body = Body::new(Kind::RequestAdmitted).request(&request.id).team(&request.team);
-        self.events.push(match self.targets.get(target).map(|it| it.id()) {
-            Some(Id::Group(id)) => body.group(*id),
-            Some(Id::Server(name)) => body.instance(name),
-            None => body,
-        });
-    }
-
-    /// The connection to open for a call; `None` if the call or the address of its target is
-    /// unknown.
-    fn route(&self, call: Key<Call>, connection: u32, resume_from: u64) -> Option<Route> {
-        let active = self.calls.get(call)?;
-        let target = self.targets.get(active.target)?.id().clone();
-        let address = self.address(&target)?;
-        Some(Route { call, connection, target, address, resume_from })
-    }
-
-    /// The address of a server, or of a group's member of rank 0.
-    pub(crate) fn address(&self, target: &Id) -> Option<SmolStr> {
-        let state = self.reader.state();
-        let sheet = state.sheet()?;
-        match target {
-            Id::Group(id) => {
-                let seat = state.group(*id)?.members.first()?;
-                let index = sheet.instances.binary_search_by(|it| it.name.cmp(&seat.instance));
-                index.ok().map(|index| sheet.instances[index].address.clone())
-            }
-            Id::Server(name) => {
-                let index = sheet.servers.binary_search_by(|it| it.name.cmp(name)).ok()?;
-                Some(sheet.servers[index].address.clone())
-            }
-        }
-    }
-
-    /// Records that a target refused a connection or said that it does not serve.
-    ///
-    /// If an earlier connection closed after the request was written (`disconnected`), this means
-    /// that the target crashed. A refusal alone does not, because the target may have been stopped.
-    fn handle_refusal(&mut self, now: Instant, target: Key<Target>, disconnected: bool) {
-        let Some(id) = self.targets.get(target).map(|target| target.id().clone()) else { return };
-        let last_refusal = self.refused_at.get(&id).copied();
-        let last_crash = self.crashed_at.get(&id).copied();
-        self.refused_at.insert(id.clone(), last_refusal.map_or(now, |at| at.max(now)));
-        if disconnected && last_crash.is_none_or(|at| now.since(at) >= CRASH_WINDOW) {
-            self.crashed_at.insert(id.clone(), now);
-            self.record_crash(now, target, &id);
-        }
-        self.sync_targets(now);
-    }
-
-    /// Blames the calls in flight at a crashed target: passes the blame to the quarantine table, to
-    /// the peers and to the log.
-    fn record_crash(&mut self, now: Instant, target: Key<Target>, id: &Id) {
-        let in_flight: Vec<InFlight> = self
-            .calls
-            .iter()
-            .filter(|(_, call)| call.target == target)
-            .map(|(_, call)| InFlight {
-                fingerprint: call.request.fingerprint,
-                suspect: call.suspect,
-            })
-            .collect();
-        let group = match id {
-            Id::Group(group) => *group,
-            Id::Server(_) => 0,
-        };
-        for blame in self.quarantine.observe_crash(&in_flight, now) {
-            let text = format_args!("{:032x}", blame.fingerprint);
-            self.events.push(Body::new(Kind::CrashBlamed).group(group).text(text));
-            let item = Item::Blame(Blame {
-                fingerprint: blame.fingerprint,
-                observer: blame.observer,
-                counter: blame.counter,
-            });
-            self.gossip.receive(&mut self.peers, &mut self.store, vec![item], now);
-            let record = Record::Crash { fingerprint: blame.fingerprint, group };
-            self.outbox.push(Purpose::Crash, record);
-        }
-        self.send_urgent(now);
-    }
-
-    /// Resumes or repeats a call after its connection failed, or ends it.
-    ///
-    /// A copy of the call's stream shows which alternative would be used, so that another target is
-    /// selected and the retry budget is charged only if needed.
-    fn recover(&mut self, now: Instant, call: Key<Call>, connection: u32, loss: Loss) -> Action {
-        let Some(active) = self.calls.get(call) else { return Action::Ignore };
-        let (request, mut tried) = (active.request.clone(), active.tried.clone());
-        let (attempts, was_suspect) = (active.attempts, active.suspect);
-        let reachable =
-            matches!(loss, Loss::Disconnected | Loss::IdleTimeout | Loss::InvalidAnswer);
-        let available = self.targets.get(active.target).is_some_and(|it| it.attributes().available);
-        let mut alternatives = Alternatives {
-            same_target: reachable && available,
-            other_target: None,
-            retry_budget: true,
-        };
-        let mut simulated = active.stream.clone();
-        let suspect = match self.check_quarantine(now, &request) {
-            Ok(suspect) => suspect || was_suspect,
-            Err(error) => return Action::Fail(error),
-        };
-        if !alternatives.same_target
-            || matches!(
-                simulated.clone().connection_lost(connection, &alternatives, now),
-                Recovery::Broken(_)
-            )
-        {
-            tried.dedup();
-            match self.choose(now, &request, &tried, suspect) {
-                Ok(selection) => alternatives.other_target = Some(selection.target),
-                Err(Error::Overloaded { .. }) if now + SUSPECT_RETRY_DELAY < request.deadline => {
-                    return Action::RetryAfter(SUSPECT_RETRY_DELAY);
-                }
-                Err(_) => {}
-            }
-        }
-        if matches!(
-            simulated.connection_lost(connection, &alternatives, now),
-            Recovery::Continue { .. }
-        ) {
-            let retry = retry::Request {
-                kind: retry::Kind::Retry,
-                idempotent: true,
-                written: true,
-                attempts,
-                deadline: request.deadline,
-                expected_duration: EXPECTED_DURATION,
-            };
-            alternatives.retry_budget = self.retries.withdraw(&request.team, &retry, now).is_ok();
-            if !alternatives.retry_budget {
-                let body = Body::new(Kind::RetryBudgetSpent).request(&request.id);
-                self.events.push(body.team(&request.team));
-            }
-        }
-        let Some(active) = self.calls.get_mut(call) else { return Action::Ignore };
-        active.suspect = suspect;
-        match active.stream.connection_lost(connection, &alternatives, now) {
-            Recovery::Ignored => Action::Ignore,
-            Recovery::Broken(stream::Error::Deadline) => Action::Fail(Error::Deadline),
-            Recovery::Broken(error) => Action::Fail(Error::Upstream(error)),
-            Recovery::Resume { attempt, offset } => {
-                let kind = Kind::RequestResumed;
-                self.reroute(call, kind, attempt.connection, offset)
-            }
-            Recovery::Continue { attempt, offset } => {
-                active.attempts += 1;
-                let (old, number) = (active.target, active.number);
-                self.targets.finish_request(old, number, false, now);
-                self.start_attempt(now, call, attempt.target);
-                let kind = if offset > 0 { Kind::RequestResumed } else { Kind::RequestRetried };
-                self.reroute(call, kind, attempt.connection, offset)
-            }
-        }
-    }
-
-    /// Emits the event of a resumed or repeated call and returns its new connection.
-    fn reroute(
-        &mut self,
-        call: Key<Call>,
-        kind: Kind,
-        connection: u32,
-        resume_from: u64,
-    ) -> Action {
-        let Some(active) = self.calls.get(call) else { return Action::Ignore };
-        let body = Body::new(kind).request(&active.request.id).team(&active.request.team);
-        self.events.push(body.text(format_args!("{resume_from} tokens received")));
-        match self.route(call, connection, resume_from) {
-            Some(route) => Action::Connect(route),
-            None => Action::Fail(Error::Upstream(stream::Error::NoTarget)),
-        }
-    }
 }
 
 /// Converts the error of admission to that of a call.
