Read the rest of a body that is too large before refusing it

Callers of marigoldwalld: 'Broken pipe' in place of 413 for a body beyond the limit.

Cause: the response was sent, and the connection closed, while the caller still sent its body. The rest of the body is now read and discarded, for 1 s and 16 MiB at most, so that the caller reads the response.

--- a/crates/mgw-daemon/src/http.rs
+++ b/crates/mgw-daemon/src/http.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use actix_http::body::BoxBody;
-use actix_http::{HttpMessage, HttpService, KeepAlive, Request, Response, StatusCode};
+use actix_http::{HttpMessage, HttpService, KeepAlive, Payload, Request, Response, StatusCode};
 use actix_rt::net::TcpStream;
 use actix_service::{IntoServiceFactory, Service, ServiceFactory};
 use bytes::{Bytes, BytesMut};
@@ -21,6 +21,13 @@
 /// once would spin.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
+/// Time for which the rest of a body that is too large is read before the request is refused. If the
+/// connection were closed while the caller still sends, the caller would miss the response.
+const DISCARD_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Maximum number of bytes that are read in this time.
+const MAX_DISCARDED_BYTES: usize = 16 << 20;
+
 /// Why the body of a request could not be read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Error {
@@ -80,13 +87,17 @@
     }
 }
 
-/// Reads the whole body of a request, of at most `limit` bytes.
+/// Reads the whole body of a request, of at most `limit` bytes. The rest of a larger one is read and
+/// discarded, within [`DISCARD_TIMEOUT`] and up to [`MAX_DISCARDED_BYTES`].
 pub async fn read_body(request: &mut Request, limit: usize) -> Result<Bytes, Error> {
     let mut payload = request.take_payload();
     let mut collected = BytesMut::new();
     while let Some(chunk) = payload.next().await {
         let chunk = chunk.map_err(|_| Error::Incomplete)?;
         if collected.len() + chunk.len() > limit {
+            drop(collected);
+            // A caller that sends for too long may miss the response.
+            let _ = actix_rt::time::timeout(DISCARD_TIMEOUT, discard(&mut payload)).await;
             return Err(Error::Oversize);
         }
         collected.extend_from_slice(&chunk);
@@ -94,6 +105,16 @@
     Ok(collected.freeze())
 }
 
+/// Reads a body to its end, or up to [`MAX_DISCARDED_BYTES`].
+async fn discard(payload: &mut Payload) {
+    let mut discarded = 0;
+    while let Some(Ok(chunk)) = payload.next().await
+        && discarded <= MAX_DISCARDED_BYTES
+    {
+        discarded += chunk.len();
+    }
+}
+
 /// The value of a header; empty if it is absent or not visible ASCII.
 pub fn header<'a>(request: &'a Request, name: &str) -> &'a str {
     request.headers().get(name).and_then(|value| value.to_str().ok()).unwrap_or_default()
