--- a/crates/mgw-daemon/src/http.rs
+++ b/crates/mgw-daemon/src/http.rs
@@ -88,7 +88,7 @@
 }
 
 /// Reads the whole body of a request, of at most `limit` bytes. The rest of a larger one is read and
-/// discarded, within [`DISCARD_TIMEOUT`] and up to [`MAX_DISCARDED_BYTES`].
+/// discarded, for at most 1 s and 16 MiB.
 pub async fn read_body(request: &mut Request, limit: usize) -> Result<Bytes, Error> {
     let mut payload = request.take_payload();
     let mut collected = BytesMut::new();
