Keep groups whose members the store cannot reach

Change: the roster keeps instances that were removed from the list apart from the listed servers. They get no requests, but count as members until they do not answer probes, restart or state that they are leaving. A group whose head is not listed for 1.5 s is closed, and its instances serve under another head. A probe that a restarted process answers counts as refused.

Ruled out: treating all missing entries as after an outage of the store; heads would then get requests later than the bound on leaving servers allows.

--- a/crates/mgw-fleet/src/plan/form.rs
+++ b/crates/mgw-fleet/src/plan/form.rs
@@ -9,7 +9,7 @@
 use crate::config::{Engine, Model};
 use crate::plan::group::Member;
 use crate::plan::{Action, Demand, Group, Phase, Planner, Preemption, View, command};
-use crate::roster::{self, Server, Stage};
+use crate::roster::{Server, Stage};
 
 /// Window over which load starts are counted for the limit on loads per second.
 const LOAD_WINDOW: Duration = Duration::from_secs(1);
@@ -88,7 +88,7 @@
                     None => self.next_group(service, engine, &models, free, view),
                 };
                 let Some(group) = group else { break };
-                let servers = group.members.iter().filter_map(|it| view.roster.by_id(&it.id));
+                let servers = group.members.iter().filter_map(|it| view.roster.instance(&it.id));
                 actions.extend(servers.map(|server| command(server, group.join())));
                 let names: Vec<&str> = group.members.iter().map(|it| it.id.as_str()).collect();
                 let text = format_smolstr!("formed for {} on {}", group.model, names.join(","));
@@ -164,11 +164,7 @@
         };
         let largest = engine.models.iter().map(|model| model.group_size).max().unwrap_or(1);
         let placement = best_placement(free, model, load_budget, largest)?;
-        let members = placement
-            .members
-            .iter()
-            .map(|server| Member { id: server.id.clone(), started_ms: server.record.started_ms })
-            .collect();
+        let members = placement.members.iter().map(|server| Member::of(server)).collect();
         self.recent_loads.extend(std::iter::repeat_n(view.now, placement.loads));
         let epoch = self.next_epoch();
         Some(Group::joining(service, epoch, &model.name, members, view.now))
@@ -220,8 +216,8 @@
         domains
     }
 
-    /// Engines that are ready, listed and reachable and that belong to no group managed by this
-    /// planner.
+    /// Engines that are ready and reachable and that belong to no group managed by this planner.
+    /// They are listed, or have replied to a probe since they were.
     pub(super) fn unassigned<'a>(&self, view: &View<'a>) -> Vec<&'a Server> {
         let members = self.groups.iter().flat_map(|group| group.members.iter());
         let mut taken: Vec<(&SmolStr, u64)> = members.map(|it| (&it.id, it.started_ms)).collect();
@@ -235,12 +231,11 @@
                     managed_epochs.binary_search(&membership.epoch).is_ok()
                 })
         };
-        let servers = view.roster.iter().map(|(_, server)| server);
-        servers
+        view.roster
+            .instances()
             .filter(|server| {
                 server.record.engine.is_some()
-                    && server.phase() == roster::Phase::Ready
-                    && server.missing_since.is_none()
+                    && server.may_join()
                     && !self.liveness.is_lost(&server.id)
                     && !is_taken(server)
             })
@@ -253,7 +248,7 @@
         let joins = joining
             .flat_map(|group| group.members.iter().map(move |member| (group, member)))
             .filter(|(group, member)| {
-                let Some(server) = view.roster.by_id(&member.id) else { return false };
+                let Some(server) = view.roster.instance(&member.id) else { return false };
                 let model = engine.model(&group.model);
                 let needs_load = model
                     .is_some_and(|model| weight_location(server, model) == WeightLocation::Store);
@@ -361,7 +356,7 @@
             }
             let is_donor = group.model == oversupplied.name && group.phase == Phase::Open;
             let members: Vec<&Server> =
-                group.members.iter().filter_map(|it| view.roster.by_id(&it.id)).collect();
+                group.members.iter().filter_map(|it| view.roster.instance(&it.id)).collect();
             let is_in_domain = members
                 .iter()
                 .all(|it| it.record.engine.as_ref().is_some_and(|engine| engine.domain == *domain));
@@ -397,8 +392,11 @@
         .filter(|(_, servers)| servers.len() >= model.group_size)
         .map(|(_, servers)| {
             let mut members = servers.clone();
-            members.sort_by_key(|server| weight_location(server, model));
+            let is_unlisted = |server: &&Server| server.unlisted_since.is_some();
+            members.sort_by_key(|server| (weight_location(server, model), is_unlisted(server)));
             members.truncate(model.group_size);
+            // Requests are sent to the head, which has to be listed for that.
+            members.sort_by_key(is_unlisted);
             let loads = members
                 .iter()
                 .filter(|server| weight_location(server, model) == WeightLocation::Store)
@@ -410,6 +408,7 @@
             Placement { members, loads, load_cost, lost_large_groups, remaining }
         })
         .filter(|placement| placement.loads <= load_budget)
+        .filter(|it| it.members.first().is_some_and(|head| head.unlisted_since.is_none()))
         .min_by_key(|placement| {
             (placement.load_cost, placement.lost_large_groups, placement.remaining)
         })
--- a/crates/mgw-fleet/src/plan/group.rs
+++ b/crates/mgw-fleet/src/plan/group.rs
@@ -17,6 +17,14 @@
 /// to leave.
 const DRAIN_TIMEOUT: Duration = Duration::from_millis(1_800);
 
+/// Time for which an open group waits for the return of its head to the list. A head that reaches
+/// the store again is listed within a heartbeat interval of 1.2 s.
+const HEAD_RETURN_TIMEOUT: Duration = Duration::from_millis(1_500);
+
+/// Time that the running requests of a group get if it closes only because its head is no longer
+/// listed. Its members are sound, so nothing else waits for them.
+const UNLISTED_DRAIN_TIMEOUT: Duration = Duration::from_secs(4);
+
 /// Multiple of the model's load time that members get to become ready, plus
 /// [`JOIN_TIMEOUT_MARGIN`].
 const JOIN_LOAD_FACTOR: u32 = 3;
@@ -38,6 +46,13 @@
     pub started_ms: u64,
 }
 
+impl Member {
+    /// The process that the newest entry or report of `server` is from.
+    pub(super) fn of(server: &Server) -> Self {
+        Self { id: server.id.clone(), started_ms: server.record.started_ms }
+    }
+}
+
 /// Lifecycle phase of a group.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Phase {
@@ -157,8 +172,9 @@
 impl Planner {
     /// Starts to manage groups that instances report and that this planner does not manage yet.
     pub(super) fn adopt(&mut self, view: &View<'_>) {
+        self.complete_adopted(view);
         let mut seen: Vec<(SmolStr, u64)> = Vec::new();
-        for (_, server) in view.roster.iter() {
+        for server in view.roster.instances() {
             let Some(membership) = server.record.membership() else { continue };
             let key = (membership.group.clone(), membership.epoch);
             let is_known =
@@ -182,6 +198,23 @@
         }
     }
 
+    /// Adds members that were not listed when their group was adopted and are now.
+    fn complete_adopted(&mut self, view: &View<'_>) {
+        for server in view.roster.instances() {
+            let Some(membership) = server.record.membership() else { continue };
+            let Some(group) = self.groups.iter_mut().find(|group| group.contains(membership))
+            else {
+                continue;
+            };
+            // A group without its head is adopted anew once that is listed.
+            if !group.has_head || group.members.iter().any(|member| member.id == server.id) {
+                continue;
+            }
+            let place = membership.rank.min(group.members.len());
+            group.members.insert(place, Member::of(server));
+        }
+    }
+
     /// Advances each managed group according to the reports of its members.
     pub(super) fn reconcile(&mut self, view: &View<'_>, actions: &mut Vec<Action>) {
         let mut groups = std::mem::take(&mut self.groups);
@@ -232,7 +265,7 @@
 
     /// The server of a member, if it is reachable and still the process that joined.
     fn live_server<'a>(&self, member: &Member, roster: &'a Roster) -> Option<&'a Server> {
-        roster.by_id(&member.id).filter(|server| {
+        roster.instance(&member.id).filter(|server| {
             server.record.started_ms == member.started_ms && !self.liveness.is_lost(&member.id)
         })
     }
@@ -252,9 +285,16 @@
         let live: Vec<&Server> =
             group.members.iter().filter_map(|member| self.live_server(member, roster)).collect();
         let is_whole = live.len() == model.group_size;
+        let has_lost_member = live.len() < group.members.len();
         let is_draining = live.iter().any(|server| server.phase() == roster::Phase::Draining);
         let head = group.head().and_then(|member| self.live_server(member, roster));
         let stage = head.and_then(|head| group.member_stage(head));
+        let unlisted_since = head.and_then(|head| head.unlisted_since);
+        let is_head_unlisted = unlisted_since.is_some();
+        let drain_timeout = match is_head_unlisted && !is_draining {
+            true => UNLISTED_DRAIN_TIMEOUT,
+            false => DRAIN_TIMEOUT,
+        };
         let elapsed = now.since(group.phase_since);
         match (group.phase, stage) {
             (Phase::Joining | Phase::Opening, Some(Stage::Open)) => {
@@ -263,6 +303,9 @@
             (Phase::Joining, _) if !is_whole || is_draining => {
                 Transition::Release("a member was lost or is draining before all were ready".into())
             }
+            (Phase::Joining, _) if is_head_unlisted => {
+                Transition::Release("the head is no longer listed".into())
+            }
             (Phase::Joining, _) => {
                 self.transition_joining(group, &live, model.cold_load_time, now, actions)
             }
@@ -272,6 +315,9 @@
             (Phase::Opening, _) if !is_whole || is_draining => Transition::Dissolve(
                 "a member was lost or is draining before the head opened".into(),
             ),
+            (Phase::Opening, _) if is_head_unlisted => {
+                Transition::Dissolve("the head is no longer listed".into())
+            }
             (Phase::Opening, _) if elapsed > OPEN_TIMEOUT => {
                 Transition::Dissolve("the head did not open in time".into())
             }
@@ -288,13 +334,21 @@
             (Phase::Open | Phase::Closing, None | Some(Stage::Broken)) => {
                 Transition::Release("the head no longer serves the group".into())
             }
-            // The requests of a group that lacks a member make no progress.
-            (Phase::Open | Phase::Closing, _) if !is_whole => {
+            // The requests of a group that lacks a member make no progress. A member is lost if it
+            // does not answer probes or has restarted, not if only its list entry is missing.
+            (Phase::Open | Phase::Closing, _) if has_lost_member => {
                 Transition::Dissolve("a member was lost".into())
             }
             (Phase::Open, _) if is_draining => {
                 Transition::Enter(Phase::Closing, "a member is draining".into())
             }
+            // No request may be sent to a head that is not listed, but its members can serve under
+            // another head.
+            (Phase::Open, _)
+                if unlisted_since.is_some_and(|since| now.since(since) > HEAD_RETURN_TIMEOUT) =>
+            {
+                Transition::Enter(Phase::Closing, "the head is no longer listed".into())
+            }
             (Phase::Open, _) if self.preempted_epochs.contains(&group.epoch) => Transition::Enter(
                 Phase::Closing,
                 "preempted for a model with lower coverage".into(),
@@ -306,7 +360,7 @@
             (Phase::Closing, Some(Stage::Ready | Stage::Joining)) => {
                 Transition::Release("the head closed".into())
             }
-            (Phase::Closing, _) if elapsed > DRAIN_TIMEOUT => {
+            (Phase::Closing, _) if elapsed > drain_timeout => {
                 Transition::Dissolve("the running requests did not finish in time".into())
             }
             (Phase::Closing, _) => {
@@ -410,8 +464,8 @@
     let service = &server.record.service;
     let engine = view.config.services.get(service)?.engine.as_ref()?;
     let mut members: Vec<(usize, &Server)> = roster
-        .iter()
-        .filter_map(|(_, other)| {
+        .instances()
+        .filter_map(|other| {
             let theirs = other.record.membership()?;
             (theirs.group == membership.group && theirs.epoch == membership.epoch)
                 .then_some((theirs.rank, other))
@@ -431,16 +485,12 @@
         Some(Stage::Joining | Stage::Ready | Stage::Broken) => return None,
         None => Phase::Headless,
     };
-    let member = |(_, server): &(usize, &Server)| Member {
-        id: server.id.clone(),
-        started_ms: server.record.started_ms,
-    };
     Some(Group {
         service: service.clone(),
         name: membership.group.clone(),
         epoch: membership.epoch,
         model,
-        members: members.iter().map(member).collect(),
+        members: members.iter().map(|(_, server)| Member::of(server)).collect(),
         has_head: head.is_some(),
         phase,
         phase_since: now,
--- a/crates/mgw-fleet/src/plan/leave.rs
+++ b/crates/mgw-fleet/src/plan/leave.rs
@@ -30,9 +30,9 @@
     /// Epochs of the groups whose reachable heads report that they serve, including groups that
     /// this planner does not manage; sorted.
     fn serving_epochs(&self, view: &View<'_>) -> Vec<u64> {
-        let heads = view.roster.iter().filter(|(_, server)| !self.liveness.is_lost(&server.id));
+        let heads = view.roster.instances().filter(|server| !self.liveness.is_lost(&server.id));
         let mut epochs: Vec<u64> = heads
-            .filter_map(|(_, server)| server.record.head_membership())
+            .filter_map(|server| server.record.head_membership())
             .filter(|membership| matches!(membership.stage, Stage::Open | Stage::Closing))
             .map(|membership| membership.epoch)
             .collect();
--- a/crates/mgw-fleet/src/plan/liveness.rs
+++ b/crates/mgw-fleet/src/plan/liveness.rs
@@ -123,10 +123,10 @@
         transitioning: &[SmolStr],
         now: Instant,
     ) -> Vec<Action> {
-        self.instances.retain(|id, _| roster.by_id(id).is_some());
-        let engines = roster.iter().filter(|(_, server)| server.record.engine.is_some());
+        self.instances.retain(|id, _| roster.instance(id).is_some());
+        let engines = roster.instances().filter(|server| server.record.engine.is_some());
         engines
-            .filter_map(|(_, server)| {
+            .filter_map(|server| {
                 let instance =
                     self.instances.get_or_insert_with(server.id.clone(), Instance::default);
                 let is_transitioning = transitioning.binary_search(&server.id).is_ok();
@@ -160,7 +160,9 @@
     let is_unknown = server.order_count.is_none();
     let has_cause =
         is_late || is_suspected || is_unknown || is_transitioning || instance.has_failed();
-    let is_due = has_cause && !was_just_probed;
+    // An instance that is neither listed nor reachable returns through the list.
+    let is_gone = instance.is_lost && server.unlisted_since.is_some();
+    let is_due = has_cause && !was_just_probed && !is_gone;
     if is_due {
         instance.last_probe = Some(now);
     }
--- a/crates/mgw-fleet/src/plan/stage.rs
+++ b/crates/mgw-fleet/src/plan/stage.rs
@@ -86,7 +86,8 @@
         let mut domains: Map<SmolStr, Vec<Idle<'a>>> = Map::default();
         for server in self.unassigned(view) {
             let Some(held) = &server.record.engine else { continue };
-            if server.record.service == *service && server.record.membership().is_none() {
+            let is_idle = server.record.membership().is_none() && server.unlisted_since.is_none();
+            if server.record.service == *service && is_idle {
                 let loading = self.staging.get(&server.id).map(|staging| staging.model.clone());
                 let idle = Idle { server, loading };
                 domains.get_or_insert_with(held.domain.clone(), Vec::new).push(idle);
@@ -129,7 +130,7 @@
     /// Removes background loads that have completed, have taken too long or lost their instance.
     fn expire_staging(&mut self, view: &View<'_>) {
         self.staging.retain(|id, staging| {
-            let Some(server) = view.roster.by_id(id) else { return false };
+            let Some(server) = view.roster.instance(id) else { return false };
             let service = view.config.services.get(&server.record.service);
             let engine = service.and_then(|it| it.engine.as_ref());
             let load =
--- a/crates/mgw-fleet/src/plan/usage.rs
+++ b/crates/mgw-fleet/src/plan/usage.rs
@@ -6,7 +6,6 @@
 use smol_str::{SmolStr, format_smolstr};
 
 use crate::plan::{Phase, Planner, View};
-use crate::roster;
 
 /// Interval at which the totals are updated and a summary is logged.
 const UPDATE_INTERVAL: Duration = Duration::from_secs(1);
@@ -43,9 +42,9 @@
         }
         self.usage.last_update = Some(view.now);
         let elapsed = elapsed.unwrap_or_default();
-        let available = view.roster.iter().map(|(_, server)| server).filter(|server| {
+        let available = view.roster.instances().filter(|server| {
             server.record.engine.is_some()
-                && server.phase() == roster::Phase::Ready
+                && server.may_join()
                 && !self.liveness.is_lost(&server.id)
         });
         let available = available.count();
--- a/crates/mgw-fleet/src/roster.rs
+++ b/crates/mgw-fleet/src/roster.rs
@@ -5,6 +5,7 @@
 
 mod outdated;
 mod record;
+mod unlisted;
 
 use std::cmp::Ordering;
 use std::time::Duration;
@@ -47,6 +48,9 @@
     /// Since when the list entry is missing, while the store may have dropped it because of an
     /// outage. For the entries that follow this one, the server is removed.
     pub missing_since: Option<Instant>,
+    /// Since when an instance without a list entry is known only as a possible member of a group;
+    /// see [`Roster::instances`]. `None` for all listed servers.
+    pub unlisted_since: Option<Instant>,
     /// What its process has stated in its responses.
     pub notice: Notice,
     /// Number of heartbeats that the process had sent when it wrote the newest known entry; `None` if
@@ -71,6 +75,14 @@
         self.phase() == Phase::Ready && self.notice.pause_left(now).is_zero()
     }
 
+    /// Whether the instance may become a member of a group: it accepts orders, and it has replied to
+    /// a probe since if it is no longer listed.
+    pub fn may_join(&self) -> bool {
+        self.phase() == Phase::Ready
+            && self.missing_since.is_none()
+            && self.unlisted_since.is_none_or(|since| self.last_seen > since)
+    }
+
     /// The process that the list entry is of.
     pub fn process(&self) -> Process {
         Process { id: self.id.clone(), started_ms: self.record.started_ms }
@@ -169,6 +181,9 @@
     /// Notices of processes that are not listed, with the times at which they were last listed or
     /// stated something.
     unlisted_notices: Map<Process, (Notice, Instant)>,
+    /// Instances that were removed from the list and may go on as members of their groups, by id.
+    /// None of them is in `servers`.
+    unlisted: Map<SmolStr, Server>,
 }
 
 /// Changes since a revision.
@@ -297,8 +312,8 @@
     /// Removes a server and records the removal for [`Roster::changes`].
     fn delete(&mut self, id: &str, now: Instant) {
         if let Some(server) = self.servers.remove(id) {
-            self.keep_notice(&server, now);
             self.record_removal(&server);
+            self.keep_unlisted(server, now);
         }
     }
 
@@ -328,8 +343,11 @@
 
     /// The notice of a process that states something at `now`, whether it is listed or not.
     fn notice_mut(&mut self, process: &Process, now: Instant) -> &mut Notice {
-        let listed = self.servers.by_name_mut(&process.id);
-        match listed.filter(|it| it.record.started_ms == process.started_ms) {
+        let known = match self.servers.find(&process.id) {
+            Some(key) => self.servers.get_mut(key),
+            None => self.unlisted.get_mut(&process.id),
+        };
+        match known.filter(|it| it.record.started_ms == process.started_ms) {
             Some(server) => &mut server.notice,
             None => {
                 let unlisted = &mut self.unlisted_notices;
@@ -411,6 +429,7 @@
     /// Applies an entry of the server list that was read at `now`. Returns whether it is of a new
     /// process under a known id.
     pub fn upsert(&mut self, id: &str, record: Record, now: Instant) -> bool {
+        self.relist(id, record.started_ms, now);
         match self.servers.by_name_mut(id) {
             // The entry is a late heartbeat of an earlier process with the same id.
             Some(server) if server.record.started_ms > record.started_ms => false,
@@ -463,6 +482,7 @@
                     changed_revision: self.revision,
                     changed_at: now,
                     missing_since: None,
+                    unlisted_since: None,
                     notice: notice.unwrap_or_default(),
                     heartbeat_count: None,
                     load: Load::default(),
@@ -484,7 +504,7 @@
         orders: u64,
         now: Instant,
     ) {
-        let Some(server) = self.servers.by_name_mut(id) else { return };
+        let Some(server) = self.instance_mut(id) else { return };
         if server.record.started_ms != started_ms {
             return;
         }
@@ -509,8 +529,7 @@
         engine.fill_last_model(server.record.engine.as_ref());
         if server.record.engine.as_ref() != Some(&engine) {
             server.record.engine = Some(engine);
-            self.revision += 1;
-            server.changed_revision = self.revision;
+            self.record_change(id);
         }
     }
 
@@ -523,21 +542,29 @@
         membership: Option<Membership>,
         now: Instant,
     ) {
-        let Some(server) = self.servers.by_name_mut(id) else { return };
+        let Some(server) = self.instance_mut(id) else { return };
         server.reported_at = Some(now);
-        server.latest_order_count = accepted + 1;
-        server.order_count = Some(accepted + 1);
+        server.latest_order_count = accepted.saturating_add(1);
+        server.order_count = Some(server.latest_order_count);
         if let Some(engine) = &mut server.record.engine {
             engine.membership = membership;
-            self.revision += 1;
-            server.changed_revision = self.revision;
+            self.record_change(id);
+        }
+    }
+
+    /// Counts a change of the engine state of an instance.
+    fn record_change(&mut self, id: &str) {
+        self.revision += 1;
+        let revision = self.revision;
+        if let Some(server) = self.instance_mut(id) {
+            server.changed_revision = revision;
         }
     }
 
     /// Marks the state and order count of a server as uncertain until its next report, because an
     /// order may have changed them.
     pub fn clear_order_count(&mut self, id: &str) {
-        if let Some(server) = self.servers.by_name_mut(id) {
+        if let Some(server) = self.instance_mut(id) {
             server.order_count = None;
         }
     }
@@ -599,6 +626,7 @@
     /// longer needed.
     pub fn tick(&mut self, now: Instant) {
         self.unlisted_notices.retain(|_, (_, at)| now.since(*at) < NOTICE_RETENTION);
+        self.forget_unlisted(now);
         if self.has_recent_outage(now) {
             return;
         }
--- a/crates/mgw-gateway/src/control.rs
+++ b/crates/mgw-gateway/src/control.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use bytes::BytesMut;
+use mgw_base::time::Instant;
 use mgw_event::Kind;
 use mgw_event::event::Body;
 use mgw_fleet::entry::{self, Phase, Role};
@@ -12,6 +13,7 @@
 use mgw_http::head::Response;
 use platform::header;
 use platform::order;
+use platform::server::Report;
 use platform::store;
 use smol_str::SmolStr;
 
@@ -268,21 +270,13 @@
     let response = call_instance(gateway, &instance, order::REPORT_PATH, b"", PROBE_TIMEOUT).await;
     let now = clock::now();
     let probe = match &response {
-        Ok((200, body)) => {
-            match platform::server::parse_report(body) {
-                Ok(report) => gateway.with(|state| {
-                    if let Some(engine) = report.engine {
-                        let (started_ms, order_count) = (report.started_ms, report.order_count);
-                        state.roster.apply_report(&instance, started_ms, engine, order_count, now);
-                    }
-                }),
-                Err(error) => {
-                    gateway
-                        .record(Body::new(Kind::RecordUnreadable).instance(&instance).text(error));
-                }
+        Ok((200, body)) => match platform::server::parse_report(body) {
+            Ok(report) => apply_report(gateway, &instance, report, now),
+            Err(error) => {
+                gateway.record(Body::new(Kind::RecordUnreadable).instance(&instance).text(error));
+                ProbeResult::Alive
             }
-            ProbeResult::Alive
-        }
+        },
         // 421 Misdirected Request: another process uses this address.
         Ok((421, _)) => ProbeResult::Refused,
         Ok(_) => ProbeResult::Alive,
@@ -301,12 +295,28 @@
     gateway.plan_due.notify_one();
 }
 
+/// Applies a report that `instance` sent in reply to a probe.
+fn apply_report(gateway: &Gateway, instance: &str, report: Report, now: Instant) -> ProbeResult {
+    gateway.with(|state| {
+        let known = state.roster.instance(instance).map(|server| server.record.started_ms);
+        if known != Some(report.started_ms) {
+            // The instance has restarted under the same id, so the probed process has ended.
+            return ProbeResult::Refused;
+        }
+        if let Some(engine) = report.engine {
+            let order_count = report.order_count;
+            state.roster.apply_report(instance, report.started_ms, engine, order_count, now);
+        }
+        ProbeResult::Alive
+    })
+}
+
 /// Sends a request to `instance`: an order if there is a body, else a query. Returns the status and
 /// the body of the response.
 ///
 /// # Errors
 ///
-/// [`io::ErrorKind::NotFound`] if the instance is not listed, [`io::ErrorKind::TimedOut`] after
+/// [`io::ErrorKind::NotFound`] if the instance is not known, [`io::ErrorKind::TimedOut`] after
 /// `limit`, or the error of the connection.
 async fn call_instance(
     gateway: &Gateway,
@@ -317,10 +327,12 @@
 ) -> io::Result<(u16, BytesMut)> {
     let now = clock::now();
     let found = gateway.with(|state| {
-        let key = state.roster.find(instance)?;
-        let server = state.roster.get(key)?;
+        let server = state.roster.instance(instance)?;
         let (process, address) = (server.process(), server.record.address);
-        Some((key, process, address, state.pool.take(key, now)))
+        // Connections to instances that are not listed are not kept.
+        let key = state.roster.find(instance);
+        let pooled = key.and_then(|key| state.pool.take(key, now));
+        Some((key, process, address, pooled))
     });
     let Some((key, process, address, pooled)) = found else {
         return Err(io::ErrorKind::NotFound.into());
@@ -344,7 +356,7 @@
         result.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
     let metadata = header::parse_response_metadata(&head);
     gateway.with(|state| notice::record(state, &process, &head, &metadata));
-    if let Some(connection) = connection {
+    if let (Some(connection), Some(key)) = (connection, key) {
         let timeout = pool::keep_alive_timeout(&head);
         gateway.with(|state| state.pool.put(key, connection, timeout, clock::now()));
     }
