Answer each request that was passed on before a planned stop ends

Cause: a request accepted in the first 2.7 s after SIGTERM could still wait for its server when the process exited, and its connection ended without an answer, also if the request may not be repeated. A request accepted later could have its deadline so shortly before the exit that its answer was lost.

Change: 300 ms before the exit, requests whose response has not begun end as after their deadline: 504 if a server may have run them, else 503. Later requests are accepted only if they end before that, and all requests are accepted for at most a third of the grace period.

--- a/crates/mgw-fleet/tests/shutdown.rs
+++ b/crates/mgw-fleet/tests/shutdown.rs
@@ -36,3 +36,21 @@
     assert!(shutdown.accepts(at(17_000), at(16_550)));
     assert!(!shutdown.closed().accepts(at(17_000), at(16_550)));
 }
+
+/// Guards against a request that is accepted late in the grace period and cut off without an answer,
+/// as its deadline is that of the process.
+#[test]
+fn late_requests_end_before_the_process_does() {
+    let shutdown = Shutdown::new(at(10_000), Duration::from_secs(8));
+    assert!(shutdown.accepts(at(17_100), at(16_000)));
+    assert!(!shutdown.accepts(at(17_400), at(16_000)), "100 ms before the exit");
+}
+
+/// Guards against requests that are accepted until the exit, whatever their deadlines, if the grace
+/// period is short.
+#[test]
+fn a_short_grace_period_leaves_time_for_answers() {
+    let shutdown = Shutdown::new(at(10_000), Duration::from_secs(3));
+    assert!(shutdown.accepts(at(18_000), at(10_900)));
+    assert!(!shutdown.accepts(at(18_000), at(11_100)));
+}
--- a/crates/mgw-gateway/src/in_flight.rs
+++ b/crates/mgw-gateway/src/in_flight.rs
@@ -117,6 +117,19 @@
         self.requests.is_empty()
     }
 
+    /// Ends the wait of all requests without a response at `now`, as after their deadlines. Streams
+    /// that have begun go on.
+    pub fn expire_unanswered(&mut self, now: Instant) {
+        let keys: Vec<RequestKey> = self.requests.iter().map(|(key, _)| key).collect();
+        for key in keys {
+            if let Some(request) = self.requests.get_mut(key)
+                && request.wait != Wait::Event
+            {
+                request.deadline = request.deadline.min(now);
+            }
+        }
+    }
+
     /// The requests that were sent to `target` and wait there.
     pub fn at_target(&self, target: ServerKey) -> impl Iterator<Item = &Request> {
         self.requests.iter().map(|(_, it)| it).filter(move |it| it.target == Some(target))
--- a/crates/mgw-gateway/src/run.rs
+++ b/crates/mgw-gateway/src/run.rs
@@ -105,7 +105,14 @@
         state.journal.record(Body::new(Kind::GatewayDraining).entry(entry).text(text));
     });
     gateway.heartbeat_due.send_replace(());
-    while !shutdown.should_exit(gateway.with(|state| state.requests.is_empty()), clock::now()) {
+    loop {
+        let now = clock::now();
+        if shutdown.should_exit(gateway.with(|state| state.requests.is_empty()), now) {
+            break;
+        }
+        if now >= shutdown.answer_deadline() {
+            gateway.with(|state| state.requests.expire_unanswered(now));
+        }
         tokio::time::sleep(DRAIN_CHECK_INTERVAL).await;
     }
     gateway.shutdown.set(Some(shutdown.closed()));
