Let no odd entry of another writer harm the servers beside it

Causes, found by a property test and by reading: an entry that claims a place in a group made the group unservable and could be adopted as its member; one with billions of slots drew the requests of its service and lifted the limit of waiting ones; one with names of 256 KB made messages to followers so large that a few of them exceed the size limit, and its error was kept and logged whole; an id with a line break added fields to probes and orders; port 0 and addresses that no server has were taken for servers.

Change: such entries are unreadable and name no server. Groups take each place from any member that fills it, and the planner one member for each place.

--- a/crates/mgw-fleet/src/group.rs
+++ b/crates/mgw-fleet/src/group.rs
@@ -26,51 +26,51 @@
 
 /// All groups whose heads are listed, in the order of the heads' ids.
 pub fn list(roster: &Roster, config: &Config) -> Vec<Group> {
-    let memberships: Vec<(&Server, &Membership)> = roster
+    let mut members: Vec<(&Membership, &Server)> = roster
         .instances()
-        .filter_map(|server| Some((server, server.record.membership()?)))
+        .filter_map(|server| Some((server.record.membership()?, server)))
         .collect();
-    let heads = roster
-        .iter()
-        .filter_map(|(id, server)| Some((id, server, server.record.head_membership()?)));
+    members.sort_by_key(|(membership, _)| key(membership));
+    let heads =
+        roster.iter().filter_map(|(id, head)| Some((id, head, head.record.head_membership()?)));
     heads
-        .filter_map(|(id, server, membership)| {
-            from_head(id, server, membership, &memberships, config)
-        })
+        .filter_map(|(id, head, membership)| from_head(id, head, membership, &members, config))
         .collect()
 }
 
-/// The group with the given head; `None` if its service or model is not configured.
+/// What tells a group from others.
+fn key(membership: &Membership) -> (&SmolStr, u64) {
+    (&membership.group, membership.epoch)
+}
+
+/// The group with the given head; `None` if its service or model is not configured. `members` holds
+/// the members of all groups, sorted by [`key`].
 fn from_head(
-    head: ServerKey,
-    server: &Server,
+    id: ServerKey,
+    head: &Server,
     membership: &Membership,
-    memberships: &[(&Server, &Membership)],
+    members: &[(&Membership, &Server)],
     config: &Config,
 ) -> Option<Group> {
-    let service = &server.record.service;
+    let service = &head.record.service;
     let engine = config.services.get(service)?.engine.as_ref()?;
-    let name = server.record.engine.as_ref()?.model.as_ref()?;
+    let name = head.record.engine.as_ref()?.model.as_ref()?;
     let model = engine.models.iter().position(|model| model.name == *name)?;
-    let mut members: Vec<(usize, &Server)> = memberships
-        .iter()
-        .filter(|(other, other_membership)| {
-            other_membership.group == membership.group
-                && other_membership.epoch == membership.epoch
-                && other.record.service == *service
+    let first = members.partition_point(|(it, _)| key(it) < key(membership));
+    let own = members[first..].iter().take_while(|(it, _)| key(it) == key(membership));
+    // Another writer may leave an entry that claims a place in a group which another member has.
+    let is_filled = |rank: usize| {
+        own.clone().any(|(it, server)| {
+            it.rank == rank && server.record.service == *service && server.phase() == Phase::Ready
         })
-        .map(|(other, other_membership)| (other_membership.rank, *other))
-        .collect();
-    members.sort_by_key(|(rank, _)| *rank);
-    let is_whole = members.len() == engine.models[model].group_size
-        && members.iter().enumerate().all(|(place, (rank, _))| place == *rank);
-    let none_drains = members.iter().all(|(_, member)| member.phase() == Phase::Ready);
+    };
+    let is_whole = (0..engine.models[model].group_size).all(is_filled);
     Some(Group {
         service: service.clone(),
         name: membership.group.clone(),
         epoch: membership.epoch,
         model,
-        head,
-        is_servable: is_whole && none_drains && membership.stage == Stage::Open,
+        head: id,
+        is_servable: is_whole && membership.stage == Stage::Open,
     })
 }
--- a/crates/mgw-fleet/src/plan/form.rs
+++ b/crates/mgw-fleet/src/plan/form.rs
@@ -164,7 +164,8 @@
         };
         let largest = engine.models.iter().map(|model| model.group_size).max().unwrap_or(1);
         let placement = best_placement(free, model, load_budget, largest)?;
-        let members = placement.members.iter().map(|server| Member::of(server)).collect();
+        let members = placement.members.iter().enumerate();
+        let members = members.map(|(rank, server)| Member::new(server, rank)).collect();
         self.recent_loads.extend(std::iter::repeat_n(view.now, placement.loads));
         let epoch = self.next_epoch();
         Some(Group::joining(service, epoch, &model.name, members, view.now))
--- a/crates/mgw-fleet/src/plan/group.rs
+++ b/crates/mgw-fleet/src/plan/group.rs
@@ -44,12 +44,14 @@
     /// Start time of the process that joined, see [`roster::Record::started_ms`]. After a restart
     /// the instance is no longer this member.
     pub started_ms: u64,
+    /// Position among the members; 0 for the head.
+    pub rank: usize,
 }
 
 impl Member {
-    /// The process that the newest entry or report of `server` is from.
-    pub(super) fn of(server: &Server) -> Self {
-        Self { id: server.id.clone(), started_ms: server.record.started_ms }
+    /// The process that the newest entry or report of `server` is from, as the member with `rank`.
+    pub(super) fn new(server: &Server, rank: usize) -> Self {
+        Self { id: server.id.clone(), started_ms: server.record.started_ms, rank }
     }
 }
 
@@ -206,12 +208,17 @@
             else {
                 continue;
             };
-            // A group without its head is adopted anew once that is listed.
-            if !group.has_head || group.members.iter().any(|member| member.id == server.id) {
-                continue;
+            let service = view.config.services.get(&group.service);
+            let engine = service.and_then(|service| service.engine.as_ref());
+            let size = engine.and_then(|it| it.model(&group.model)).map_or(0, |it| it.group_size);
+            let place = group.members.binary_search_by_key(&membership.rank, |it| it.rank);
+            match place {
+                // A group without its head is adopted anew once that is listed.
+                Err(place) if group.has_head && membership.rank < size => {
+                    group.members.insert(place, Member::new(server, membership.rank));
+                }
+                Ok(_) | Err(_) => {}
             }
-            let place = membership.rank.min(group.members.len());
-            group.members.insert(place, Member::of(server));
         }
     }
 
@@ -472,8 +479,11 @@
         })
         .collect();
     members.sort_by_key(|(rank, _)| *rank);
+    // Another writer may leave an entry that claims the place of another member, or none that exists.
+    members.dedup_by_key(|(rank, _)| *rank);
     let model = members.iter().find_map(|(_, it)| it.record.engine.as_ref()?.model.clone())?;
     let size = engine.model(&model)?.group_size;
+    members.retain(|(rank, _)| *rank < size);
     let is_whole = members.len() == size;
     let head = members.first().filter(|(rank, _)| *rank == 0);
     let stage =
@@ -490,7 +500,7 @@
         name: membership.group.clone(),
         epoch: membership.epoch,
         model,
-        members: members.iter().map(|(_, server)| Member::of(server)).collect(),
+        members: members.iter().map(|(rank, server)| Member::new(server, *rank)).collect(),
         has_head: head.is_some(),
         phase,
         phase_since: now,
--- a/crates/mgw-gateway/src/topics.rs
+++ b/crates/mgw-gateway/src/topics.rs
@@ -367,7 +367,9 @@
 fn apply_servers(state: &mut State, update: Update, now: Instant) -> Result<(), Outdated> {
     let mut changes = Vec::with_capacity(update.records.len());
     for record in &update.records {
-        let change = match record.value.as_deref().map(platform::server::parse_entry) {
+        let parsed =
+            record.value.as_deref().map(|value| platform::server::parse_entry(&record.key, value));
+        let change = match parsed {
             Some(Ok(entry)) => Change::Listed {
                 record: Box::new(entry.record),
                 stamp: Some(Stamp {
