Send datagrams to all entries in turn

Cause: with more than 24 other entries, the targets of each round were drawn at random. With 195 entries each one was left out for 0.9 s in 30 of 100 cases and for 4 s in one of 200 (0.876^9, 0.876^40), so reports were discarded as too old for a third of the entries, and a sound planner counted as lost after 1 s.

Change: an entry sends to 24 others in each round and to all in turn; the timeouts of reports last two such cycles at least (0.9 s at 195 entries, 1.8 s at 420). Evidence of crashes is repeated for 2 s.

--- a/crates/mgw-fleet/src/peer_load.rs
+++ b/crates/mgw-fleet/src/peer_load.rs
@@ -14,6 +14,7 @@
 use smol_str::SmolStr;
 
 use crate::codec;
+use crate::fan_out::ROUND_INTERVAL;
 
 /// Version of the encoding, the first byte of each datagram.
 const FORMAT_VERSION: u8 = 2;
@@ -21,13 +22,16 @@
 /// Maximum size of a datagram in bytes.
 pub const MAX_DATAGRAM_BYTES: usize = 1_200;
 
-/// Age from which on a report is discarded.
+/// Age from which on a report is discarded, if each entry sends to all others in each round.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(800);
 
-/// Time without a report from the planner after which it counts as lost. Reports are sent every
-/// 100 ms.
+/// Time without a report from the planner after which it counts as lost, if it sends to all others
+/// in each round.
 const PLANNER_TIMEOUT: Duration = Duration::from_millis(1_000);
 
+/// Number of cycles (see [`crate::fan_out`]) that these times last at least, as a report may be lost.
+const MIN_TIMEOUT_CYCLES: u32 = 2;
+
 /// Number of successive reports after which a planner counts as lost if all of them state that it
 /// does not plan or has a stale view of the store.
 const LOST_AFTER_IDLE_REPORTS: u32 = 3;
@@ -42,10 +46,6 @@
 /// Time after the last report of an entry until the entry is forgotten.
 const FORGET_TIMEOUT: Duration = Duration::from_secs(60);
 
-/// Maximum number of entries that a report is sent to. If there are more, the sender selects them
-/// at random for each report.
-pub const FAN_OUT: usize = 24;
-
 /// Returns the hash by which reports identify a target.
 pub fn target_hash(id: &str) -> u64 {
     hash::parts(&[id.as_bytes()]) as u64
@@ -110,9 +110,22 @@
     totals: Vec<(u64, u32)>,
     /// When each entry last sent a report, by incarnation. Kept for longer than the report.
     last_heard: Map<u64, Instant>,
+    /// Time between two reports of an entry; see [`crate::fan_out::cycle`].
+    cycle: Duration,
 }
 
 impl Table {
+    /// Sets the time between two reports of an entry.
+    pub fn set_cycle(&mut self, cycle: Duration) {
+        self.cycle = cycle;
+    }
+
+    /// The time without a report after which something is concluded from that: `base`, or more if
+    /// reports are rare.
+    fn timeout(&self, base: Duration) -> Duration {
+        base.max(self.cycle * MIN_TIMEOUT_CYCLES + ROUND_INTERVAL)
+    }
+
     /// Applies a report that arrived at `now`. A report with a sequence number that is not higher
     /// than that of the sender's known report is ignored.
     pub fn apply(&mut self, report: Report, now: Instant) {
@@ -136,8 +149,8 @@
     /// Discards reports that are too old, and forgets entries that have sent none for a long time.
     pub fn expire(&mut self, now: Instant) {
         self.last_heard.retain(|_, at| now.since(*at) < FORGET_TIMEOUT);
-        let before = self.peers.len();
-        self.peers.retain(|_, peer| now.since(peer.received_at) < REPORT_TIMEOUT);
+        let (before, timeout) = (self.peers.len(), self.timeout(REPORT_TIMEOUT));
+        self.peers.retain(|_, peer| now.since(peer.received_at) < timeout);
         if self.peers.len() != before {
             self.recompute_totals();
         }
@@ -150,8 +163,8 @@
     /// reports arrive at all, this process has probably lost its network connection.
     pub fn is_planner_lost(&self, planner: u64, now: Instant) -> bool {
         let age = |peer: &Peer| now.since(peer.received_at);
-        let is_silent =
-            self.last_heard.get(&planner).is_some_and(|at| now.since(*at) > PLANNER_TIMEOUT);
+        let timeout = self.timeout(PLANNER_TIMEOUT);
+        let is_silent = self.last_heard.get(&planner).is_some_and(|at| now.since(*at) > timeout);
         let is_idle = self
             .peers
             .get(&planner)
--- a/crates/mgw-gateway/src/gossip.rs
+++ b/crates/mgw-gateway/src/gossip.rs
@@ -12,11 +12,12 @@
 use mgw_event::event::Body;
 use mgw_fleet::crash_report;
 use mgw_fleet::entry::Phase;
-use mgw_fleet::peer_load::{self, FAN_OUT, PlannerStatus, Report};
+use mgw_fleet::fan_out;
+use mgw_fleet::peer_load::{self, PlannerStatus, Report};
 use mgw_fleet::plan::Planner;
 use mgw_fleet::rate_report;
 use mgw_route::poison::{Clearance, Evidence, Part};
-use rand::seq::SliceRandom;
+use smol_str::SmolStr;
 use tokio::net::UdpSocket;
 
 use crate::clock;
@@ -122,7 +123,7 @@
 }
 
 /// Sends this entry's load report, and its reports of crashes and of limited servers if there is
-/// news, to the other serving entries; to [`FAN_OUT`] random ones if there are more.
+/// news, to other serving entries; see [`fan_out`].
 pub fn broadcast(gateway: &Gateway, socket: &UdpSocket, sequence: u64) {
     let port = gateway.settings.metrics_address.port();
     let (report, crashes, limits, peers) = gateway.with(|state| {
@@ -139,21 +140,7 @@
             stalled: state.stalled_targets.clone(),
             planner: state.active_planner().map(status),
         };
-        let own = gateway.settings.callers_address.to_string();
-        let mut peers: Vec<SocketAddr> = state
-            .entries
-            .serving()
-            .filter(|(_, it)| {
-                it.heartbeat.caller_address != own && it.heartbeat.phase == Phase::Serving
-            })
-            .filter_map(|(_, it)| {
-                peer_load::datagram_address(&it.heartbeat.caller_address, port)?.parse().ok()
-            })
-            .collect();
-        if peers.len() > FAN_OUT {
-            peers.partial_shuffle(&mut state.rng, FAN_OUT);
-            peers.truncate(FAN_OUT);
-        }
+        let peers = peers(state, &gateway.settings.entry_name, port, sequence);
         (report, crash_report(state), limit::reports(state, gateway.incarnation), peers)
     });
     send(gateway, socket, &peers, peer_load::encode(&report));
@@ -165,6 +152,30 @@
     }
 }
 
+/// The addresses of the entries that are sent to in the round `sequence`.
+fn peers(state: &mut State, own: &SmolStr, port: u16, sequence: u64) -> Vec<SocketAddr> {
+    let serving = state.entries.serving();
+    let entries: Vec<(&SmolStr, &str)> = serving
+        .filter(|(name, it)| it.heartbeat.phase == Phase::Serving || *name == own)
+        .map(|(name, it)| (name, it.heartbeat.caller_address.as_str()))
+        .collect();
+    // A draining entry is not in the list, but has a place in its order.
+    let place = entries.partition_point(|(name, _)| *name < own);
+    let is_listed = entries.get(place).is_some_and(|(name, _)| *name == own);
+    let others: Vec<&str> = entries[place + usize::from(is_listed)..]
+        .iter()
+        .chain(&entries[..place])
+        .map(|(_, address)| *address)
+        .collect();
+    let targets = fan_out::targets(0, others.len() + 1, sequence);
+    let address =
+        |target: usize| peer_load::datagram_address(others[target - 1], port)?.parse().ok();
+    let addresses = targets.filter_map(address).collect();
+    let cycle = fan_out::cycle(others.len());
+    state.peer_loads.set_cycle(cycle);
+    addresses
+}
+
 /// Sends a datagram to all `peers`.
 fn send(
     gateway: &Gateway,
--- a/crates/mgw-gateway/src/tick.rs
+++ b/crates/mgw-gateway/src/tick.rs
@@ -8,6 +8,7 @@
 use mgw_event::Kind;
 use mgw_event::event::Body;
 use mgw_fleet::entry::Phase;
+use mgw_fleet::fan_out::ROUND_INTERVAL;
 use mgw_fleet::peer_load::target_hash;
 use tokio::net::UdpSocket;
 
@@ -22,9 +23,6 @@
 /// Interval of the update of the phase, the roster and the retry budget, and of flushing the log.
 const CONTROL_INTERVAL: Duration = Duration::from_millis(200);
 
-/// Interval of the load reports to the other entries.
-const GOSSIP_INTERVAL: Duration = Duration::from_millis(100);
-
 /// Interval of removing expired data and sampling the demand.
 const CLEANUP_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -46,7 +44,7 @@
     let mut timers = timer::Queue::default();
     let start = clock::now();
     timers.schedule_periodic(start, REQUEST_CHECK_INTERVAL, Task::CheckRequests);
-    timers.schedule_periodic(start, GOSSIP_INTERVAL, Task::Gossip);
+    timers.schedule_periodic(start, ROUND_INTERVAL, Task::Gossip);
     timers.schedule_periodic(start, CONTROL_INTERVAL, Task::Control);
     timers.schedule_periodic(start, CLEANUP_INTERVAL, Task::CleanUp);
     loop {
--- a/crates/mgw-route/src/poison.rs
+++ b/crates/mgw-route/src/poison.rs
@@ -56,7 +56,7 @@
 const MAX_EVIDENCE: usize = 16;
 
 /// Time for which news about a part are repeated to the peers.
-const REPEAT_TIME: Duration = Duration::from_millis(1_200);
+const REPEAT_TIME: Duration = Duration::from_millis(2_000);
 
 /// Time after a crash for which answers to the parts concerned are told to the peers.
 const CLEARANCE_TIME: Duration = Duration::from_secs(20);
