--- a/crates/mgw-fleet/src/plan/group.rs
+++ b/crates/mgw-fleet/src/plan/group.rs
@@ -162,7 +162,7 @@
     }
 
     /// The stage that `server` reports for this group; `None` if it reports another group or none.
-    fn member_stage(&self, server: &Server) -> Option<Stage> {
+    pub(super) fn member_stage(&self, server: &Server) -> Option<Stage> {
         server
             .record
             .membership()
--- a/crates/mgw-fleet/src/plan/liveness.rs
+++ b/crates/mgw-fleet/src/plan/liveness.rs
@@ -158,8 +158,9 @@
     let was_just_probed =
         instance.last_probe.is_some_and(|last_probe| now.since(last_probe) < interval);
     let is_unknown = server.order_count.is_none();
-    let has_cause =
-        is_late || is_suspected || is_unknown || is_transitioning || instance.has_failed();
+    let is_unconfirmed = server.unlisted_since.is_some_and(|since| server.last_seen <= since);
+    let is_uncertain = is_unknown || is_unconfirmed || is_transitioning;
+    let has_cause = is_late || is_suspected || is_uncertain || instance.has_failed();
     // An instance that is neither listed nor reachable returns through the list.
     let is_gone = instance.is_lost && server.unlisted_since.is_some();
     let is_due = has_cause && !was_just_probed && !is_gone;
--- a/crates/mgw-fleet/src/plan/reserve.rs
+++ b/crates/mgw-fleet/src/plan/reserve.rs
@@ -63,8 +63,8 @@
                 && !self.liveness.is_lost(&server.id)
         });
         let share = normalized_demand(service, engine, model, view.demand);
-        let wanted = (available.count() as f64 * share / model.group_size as f64) as usize;
-        wanted.saturating_sub(self.group_count(service, model))
+        let wanted = (available.count() as f64 * share / model.group_size as f64).round();
+        (wanted as usize).saturating_sub(self.group_count(service, model))
     }
 }
 
