Prefer targets with an idle connection

Change: the first of the two targets that are compared is drawn from those with an idle connection, which count as 6% of their slots less loaded. With more load than that the other one is taken, as before.

--- a/crates/mgw-fleet/src/balance.rs
+++ b/crates/mgw-fleet/src/balance.rs
@@ -123,6 +123,8 @@
     pub slots: u32,
     /// Whether the target is in this entry's availability zone.
     pub is_same_zone: bool,
+    /// Whether this entry has an idle connection to the target.
+    pub is_connected: bool,
     /// Whether this request was already sent to the target; it is not sent there again.
     pub is_tried: bool,
 }
@@ -135,11 +137,13 @@
     /// How much more of its slots a target in this entry's zone may have in use than a target in
     /// another zone and still be preferred, as a fraction of a target's slots.
     pub same_zone_bonus: f64,
+    /// The same for a target that this entry has an idle connection to.
+    pub connected_bonus: f64,
 }
 
 impl Default for Options {
     fn default() -> Self {
-        Self { max_queued: 4.0, same_zone_bonus: 0.08 }
+        Self { max_queued: 4.0, same_zone_bonus: 0.08, connected_bonus: 0.06 }
     }
 }
 
@@ -153,7 +157,9 @@
 }
 
 /// Chooses a target by the power of two random choices: draws two targets, weighted by their free
-/// capacity, and returns the one with the lower cost.
+/// capacity, and returns the one with the lower cost. The first one is drawn from the targets that
+/// this entry has an idle connection to, if there are any, so that an entry with few requests keeps to
+/// few targets as long as others have no less load.
 ///
 /// Targets that new requests should avoid are considered only if there is no other.
 ///
@@ -187,28 +193,35 @@
         .map(|it| (f64::from(it.slots) + options.max_queued - it.requests, it))
         .filter(|(capacity, _)| *capacity >= 1.0)
         .collect();
-    let total: f64 = free.iter().map(|(capacity, _)| capacity).sum();
-    let mut draw = || {
-        let mut point = random.random::<f64>() * total;
-        free.iter()
-            .find(|(capacity, _)| {
-                point -= capacity;
-                point <= 0.0
-            })
-            .or(free.last())
-            .map(|(_, it)| *it)
-    };
-    let (Some(one), Some(other)) = (draw(), draw()) else { return Err(Error::Full) };
+    let connected: Vec<(f64, &Candidate<'_>)> =
+        free.iter().filter(|(_, it)| it.is_connected).copied().collect();
+    let first = draw(if connected.is_empty() { &free } else { &connected }, random);
+    let (Some(one), Some(other)) = (first, draw(&free, random)) else { return Err(Error::Full) };
     let cost = |it: &Candidate<'_>| cost(it, options, now);
     Ok(if cost(one) <= cost(other) { one.id } else { other.id })
 }
 
-/// Cost of sending a request to `candidate`: its use of slots, less the bonus for the same zone,
-/// plus a penalty for failures.
+/// Draws one of the targets at random, weighted by their free capacity; `None` if there are none.
+fn draw<'a, R>(free: &[(f64, &'a Candidate<'a>)], random: &mut R) -> Option<&'a Candidate<'a>>
+where
+    R: Rng,
+{
+    let total: f64 = free.iter().map(|(capacity, _)| capacity).sum();
+    let mut point = random.random::<f64>() * total;
+    let drawn = free.iter().find(|(capacity, _)| {
+        point -= capacity;
+        point <= 0.0
+    });
+    drawn.or(free.last()).map(|(_, it)| *it)
+}
+
+/// Cost of sending a request to `candidate`: its use of slots, less the bonuses for the same zone and
+/// for an idle connection, plus a penalty for failures.
 fn cost(candidate: &Candidate<'_>, options: &Options, now: Instant) -> f64 {
     let load = candidate.load;
     let zone_bonus = if candidate.is_same_zone { options.same_zone_bonus } else { 0.0 };
     let excess_failures = (load.failure_rate(now) - TOLERATED_FAILURE_RATE).max(0.0);
-    candidate.requests / f64::from(candidate.slots.max(1)) - zone_bonus
+    let connected_bonus = if candidate.is_connected { options.connected_bonus } else { 0.0 };
+    candidate.requests / f64::from(candidate.slots.max(1)) - zone_bonus - connected_bonus
         + excess_failures * FAILURE_COST
 }
--- a/crates/mgw-fleet/tests/balance.rs
+++ b/crates/mgw-fleet/tests/balance.rs
@@ -19,7 +19,15 @@
 }
 
 fn candidate<'a>(id: ServerKey, load: &'a Load, requests: f64) -> Candidate<'a> {
-    Candidate { id, load, requests, slots: 17, is_same_zone: false, is_tried: false }
+    Candidate {
+        id,
+        load,
+        requests,
+        slots: 17,
+        is_same_zone: false,
+        is_connected: false,
+        is_tried: false,
+    }
 }
 
 /// Guards against requests that queue at some targets while others are idle: 100 requests must
@@ -90,6 +98,39 @@
     assert!(failing.failure_rate(at(21_000)) < 0.1, "the failure rate must decay");
 }
 
+/// Guards against a new connection for nearly every request, as each entry spreads its few requests
+/// over all targets: of 200 requests to 100 targets, all go to the three that it is connected to.
+#[test]
+fn keeps_to_connected_targets_with_as_little_load() {
+    let (ids, load) = (ids(100), Load::default());
+    let mut random = SmallRng::seed_from_u64(3);
+    let candidates: Vec<Candidate<'_>> = (ids.iter().enumerate())
+        .map(|(place, id)| Candidate { is_connected: place < 3, ..candidate(*id, &load, 8.0) })
+        .collect();
+    for _ in 0..200 {
+        let chosen = choose(&candidates, &Options::default(), at(0), &mut random);
+        assert!(ids[..3].contains(&chosen.expect("a target")));
+    }
+}
+
+/// Guards against a connected target that gets more than its part of the requests.
+#[test]
+fn leaves_connected_targets_with_more_load() {
+    let (ids, load) = (ids(100), Load::default());
+    let mut random = SmallRng::seed_from_u64(3);
+    let candidates: Vec<Candidate<'_>> = (ids.iter().enumerate())
+        .map(|(place, id)| {
+            let requests = if place < 3 { 10.0 } else { 8.0 };
+            Candidate { is_connected: place < 3, ..candidate(*id, &load, requests) }
+        })
+        .collect();
+    let is_connected = |id: &ServerKey| ids[..3].contains(id);
+    let chosen = (0..200).filter_map(|_| {
+        choose(&candidates, &Options::default(), at(0), &mut random).ok().filter(is_connected)
+    });
+    assert!(chosen.count() < 20, "the busier targets were chosen although others were free");
+}
+
 /// Guards against adding the counts of two reports of one entry, and against keeping the counts of
 /// an entry that has ended.
 #[test]
--- a/crates/mgw-gateway/src/forward/target.rs
+++ b/crates/mgw-gateway/src/forward/target.rs
@@ -71,6 +71,7 @@
                         requests: server.load.estimated_requests(peer_requests(&server.id), now),
                         slots,
                         is_same_zone: server.record.zone == gateway.settings.zone,
+                        is_connected: state.pool.has_idle(id, now),
                         is_tried: self.tried.contains(&id),
                     });
                 }
--- a/crates/mgw-gateway/src/pool.rs
+++ b/crates/mgw-gateway/src/pool.rs
@@ -49,6 +49,11 @@
         None
     }
 
+    /// Whether there is an idle connection to `server` that has not expired.
+    pub fn has_idle(&self, server: ServerKey, now: Instant) -> bool {
+        self.idle.get(&server).is_some_and(|idle| idle.iter().any(|it| it.expires_at > now))
+    }
+
     /// Returns a connection to the pool, or closes it if the pool of its server is full. `timeout`
     /// is the keep-alive timeout that the server stated.
     ///
