Read the list of servers at few entries when the whole system starts

A follower that read the list itself was mostly ahead of its reader, which then told it nothing until it timed out and passed for failed for 3 s.

One entry of 48, not of 24, in a zone reads the store.

--- a/crates/mgw-fleet/src/entry.rs
+++ b/crates/mgw-fleet/src/entry.rs
@@ -42,7 +42,7 @@
 const MAX_READ_GAP: Duration = Duration::from_secs(2);
 
 /// Number of serving entries in a zone per reader of the store.
-const ENTRIES_PER_READER: usize = 24;
+const ENTRIES_PER_READER: usize = 48;
 
 /// Minimum number of readers of the store over all zones, if there are enough entries.
 const MIN_READERS: usize = 3;
--- a/crates/mgw-fleet/src/feed.rs
+++ b/crates/mgw-fleet/src/feed.rs
@@ -1,8 +1,8 @@
 //! Messages between readers, the entries that read the store, and the entries that follow them.
 //!
-//! A follower sends a [`Poll`] several times a second, with a timestamp of its own clock. Unless
-//! the reader has read less of the servers' topic than the follower, it answers with an [`Update`]
-//! that echoes the timestamp and states the ages of what the reader knows. When something changes,
+//! A follower sends a [`Poll`] several times a second, with a timestamp of its own clock. The reader
+//! answers with an [`Update`] that echoes the timestamp and states the ages of what it knows, or that
+//! it knows nothing if it has read less of the servers' topic than the follower. When something changes,
 //! the reader also pushes an update without ages. The follower discards a server list that ends
 //! before the one it knows.
 //!
@@ -168,6 +168,12 @@
 }
 
 impl Ages {
+    /// The ages in the answer to a poll of a follower that may know newer lists than the reader: they
+    /// prove nothing, but that the reader answers.
+    pub fn without_lists(self) -> Self {
+        Self { config: u64::MAX, servers: u64::MAX, entries: u64::MAX, ..self }
+    }
+
     /// Returns the time on the follower's clock at which knowledge of this age was current.
     pub fn as_of(&self, age: u64) -> Instant {
         Instant::from_micros(self.timestamp.saturating_sub(age))
--- a/crates/mgw-gateway/src/feed/follower.rs
+++ b/crates/mgw-gateway/src/feed/follower.rs
@@ -64,8 +64,8 @@
 }
 
 /// The preferred source. The planner reads the store itself if it can. So does a serving entry with
-/// followers while its configuration is current, an entry without a list of servers at its start,
-/// and a draining entry that follows no reader.
+/// followers while its configuration is current, an entry without a list of servers at its start
+/// unless it waits for a reader, and a draining entry that follows no reader.
 fn choose_source(gateway: &Gateway, selector: &mut Selector) -> Source {
     let (now, settings) = (clock::now(), &gateway.settings);
     gateway.with(|state| {
@@ -74,7 +74,7 @@
             Phase::Serving if state.is_planner => state.has_stale_view,
             Phase::Serving => has_stale_config || state.followers.is_empty(),
             Phase::Draining => state.reader_link.is_some(),
-            Phase::Starting => state.has_server_list,
+            Phase::Starting => state.has_server_list || gateway.waits_for_reader(state, now),
         };
         let own = (settings.entry_name.as_str(), settings.zone.as_str());
         match may_follow {
--- a/crates/mgw-gateway/src/feed/reader.rs
+++ b/crates/mgw-gateway/src/feed/reader.rs
@@ -186,11 +186,13 @@
 fn respond_to_poll(state: &mut State, poll: Poll, cursor: &mut Cursor) -> Update {
     cursor.name = poll.name.into();
     cursor.servers.record_poll(poll.end_offset);
-    // Without ages, the follower looks for another source.
+    let ages = state.ages(poll.timestamp, clock::now());
+    // A follower that has read the list further waits until this entry has read as far.
     if cursor.servers.is_behind(&state.roster) {
-        return Update::default();
+        let ages = ages.map(Ages::without_lists);
+        return Update { ages, ..Update::default() };
     }
-    Update { ages: state.ages(poll.timestamp, clock::now()), ..pending_changes(state, cursor) }
+    Update { ages, ..pending_changes(state, cursor) }
 }
 
 /// The changes that have not been sent to the follower yet; advances the cursor past them.
--- a/crates/mgw-gateway/src/topics.rs
+++ b/crates/mgw-gateway/src/topics.rs
@@ -11,6 +11,7 @@
 use mgw_fleet::freshness::Shown;
 use mgw_fleet::position::Position;
 use mgw_fleet::roster::{Outdated, Stamp};
+use mgw_fleet::source::MAX_FEED_AGE;
 use platform::store::{self, Call, Record};
 use smol_str::SmolStr;
 
@@ -121,6 +122,7 @@
     let mut client = Client::new(gateway.settings.store_address);
     let mut next = None;
     let mut failures = 0;
+    tokio::time::sleep(gateway.start_delay).await;
     loop {
         if !should_read(&gateway, topic) {
             // The next read starts with a snapshot, as the offset will be outdated by then.
@@ -176,6 +178,9 @@
 /// Whether this entry has to read `topic` itself. An entry whose reader has failed reads only the
 /// configuration at first, and the other topics once the store responds. Otherwise all entries
 /// would send calls in vain for all topics during an outage of the store.
+///
+/// While a reader answers, this entry does not read what it knows well enough: a list that is newer
+/// than the reader's would keep the reader from sending its own.
 fn should_read(gateway: &Gateway, topic: Topic) -> bool {
     let now = clock::now();
     gateway.with(|state| {
@@ -183,12 +188,24 @@
             || state.config_proof.age(now).is_some_and(|age| age < REACHABLE_PROOF_AGE);
         match (&state.reader_link, topic) {
             _ if state.is_following(now) => false,
+            _ if state.has_live_reader(now) && is_recent(state, topic, now) => false,
+            (_, Topic::Config | Topic::Servers) if gateway.waits_for_reader(state, now) => false,
             (None, _) | (Some(_), Topic::Config) => true,
             (Some(_), Topic::Servers | Topic::Entries) => is_reachable(),
         }
     })
 }
 
+/// Whether this entry's knowledge of `topic` is recent enough without a further read.
+fn is_recent(state: &State, topic: Topic, now: Instant) -> bool {
+    let known_as_of = match topic {
+        Topic::Config => return state.config_proof.age(now).is_some_and(|it| it < MAX_FEED_AGE),
+        Topic::Servers => state.has_server_list.then(|| state.roster.list_read_at()),
+        Topic::Entries => state.entries.last_read(),
+    };
+    known_as_of.is_some_and(|as_of| now.since(as_of) < MAX_FEED_AGE)
+}
+
 /// Waits for the poll interval of `topic`, or until an earlier read of it is due.
 async fn wait_for_next_read(gateway: &Gateway, topic: Topic) {
     let is_planner = gateway.with(|state| state.is_planner);
