--- a/crates/mgw-fleet/src/balance.rs
+++ b/crates/mgw-fleet/src/balance.rs
@@ -26,6 +26,10 @@
 /// the requests themselves are faulty.
 const TOLERATED_FAILURE_RATE: f64 = 0.25;
 
+/// Failure rate above which an idle connection to a target does not count. Otherwise a server that
+/// fails at once, and keeps its connections, would get more requests than others.
+const MAX_CONNECTED_FAILURE_RATE: f64 = 0.1;
+
 /// Cost per unit of failure rate above the tolerated rate. A target whose slots are all in use has
 /// a cost of 1.
 const FAILURE_COST: f64 = 4.0;
@@ -194,13 +198,18 @@
         .filter(|(capacity, _)| *capacity >= 1.0)
         .collect();
     let connected: Vec<(f64, &Candidate<'_>)> =
-        free.iter().filter(|(_, it)| it.is_connected).copied().collect();
+        free.iter().filter(|(_, it)| is_connected(it, now)).copied().collect();
     let first = draw(if connected.is_empty() { &free } else { &connected }, random);
     let (Some(one), Some(other)) = (first, draw(&free, random)) else { return Err(Error::Full) };
     let cost = |it: &Candidate<'_>| cost(it, options, now);
     Ok(if cost(one) <= cost(other) { one.id } else { other.id })
 }
 
+/// Whether an idle connection to `candidate` counts.
+fn is_connected(candidate: &Candidate<'_>, now: Instant) -> bool {
+    candidate.is_connected && candidate.load.failure_rate(now) <= MAX_CONNECTED_FAILURE_RATE
+}
+
 /// Draws one of the targets at random, weighted by their free capacity; `None` if there are none.
 fn draw<'a, R>(free: &[(f64, &'a Candidate<'a>)], random: &mut R) -> Option<&'a Candidate<'a>>
 where
@@ -221,7 +230,7 @@
     let load = candidate.load;
     let zone_bonus = if candidate.is_same_zone { options.same_zone_bonus } else { 0.0 };
     let excess_failures = (load.failure_rate(now) - TOLERATED_FAILURE_RATE).max(0.0);
-    let connected_bonus = if candidate.is_connected { options.connected_bonus } else { 0.0 };
+    let connected_bonus = if is_connected(candidate, now) { options.connected_bonus } else { 0.0 };
     candidate.requests / f64::from(candidate.slots.max(1)) - zone_bonus - connected_bonus
         + excess_failures * FAILURE_COST
 }
--- a/crates/mgw-fleet/tests/balance.rs
+++ b/crates/mgw-fleet/tests/balance.rs
@@ -131,6 +131,24 @@
     assert!(chosen.count() < 20, "the busier targets were chosen although others were free");
 }
 
+/// Guards against a connected target that gets most of the requests although it fails them at once.
+#[test]
+fn leaves_a_connected_target_after_a_failure() {
+    let (ids, load) = (ids(100), Load::default());
+    let mut failing = Load::default();
+    failing.record_result(true, at(0));
+    let mut random = SmallRng::seed_from_u64(3);
+    let candidates: Vec<Candidate<'_>> = (ids.iter().enumerate())
+        .map(|(place, id)| {
+            let load = if place == 0 { &failing } else { &load };
+            Candidate { is_connected: place == 0, ..candidate(*id, load, 8.0) }
+        })
+        .collect();
+    let chosen = (0..200)
+        .filter(|_| choose(&candidates, &Options::default(), at(0), &mut random) == Ok(ids[0]));
+    assert!(chosen.count() < 20);
+}
+
 /// Guards against adding the counts of two reports of one entry, and against keeping the counts of
 /// an entry that has ended.
 #[test]
