--- a/crates/mgw-fleet/src/roster.rs
+++ b/crates/mgw-fleet/src/roster.rs
@@ -142,7 +142,7 @@
     servers: Table<Server>,
     /// Position in the servers' topic up to which the list is known. It never decreases.
     end_offset: u64,
-    /// The newest restore of the store, until the list is read again after [`COPY_TIMEOUT`].
+    /// The newest restore of the store, until the list is read again some seconds later.
     restore: Option<Restore>,
     /// Increases with each change of a record, each removal, and each server that states that it is
     /// leaving. A heartbeat that changes nothing leaves it as it is.
