Try targets without an idle connection as well

Cause: at equal load, every request went to a target with an idle connection, so that others were not known: endless.rs sent 60 lookups to one of two servers.

Change: one of eight choices ignores connections, and plain services, whose servers are few, are not concerned at all.

--- a/crates/mgw-fleet/src/balance.rs
+++ b/crates/mgw-fleet/src/balance.rs
@@ -30,6 +30,10 @@
 /// fails at once, and keeps its connections, would get more requests than others.
 const MAX_CONNECTED_FAILURE_RATE: f64 = 0.1;
 
+/// Share of the choices that are made without regard to idle connections, so that targets without one
+/// are tried as well.
+const EXPLORED_SHARE: f64 = 0.125;
+
 /// Cost per unit of failure rate above the tolerated rate. A target whose slots are all in use has
 /// a cost of 1.
 const FAILURE_COST: f64 = 4.0;
@@ -197,11 +201,15 @@
         .map(|it| (f64::from(it.slots) + options.max_queued - it.requests, it))
         .filter(|(capacity, _)| *capacity >= 1.0)
         .collect();
+    let is_exploring = random.random_bool(EXPLORED_SHARE);
+    let is_preferred = |it: &Candidate<'_>| !is_exploring && is_connected(it, now);
     let connected: Vec<(f64, &Candidate<'_>)> =
-        free.iter().filter(|(_, it)| is_connected(it, now)).copied().collect();
+        free.iter().filter(|(_, it)| is_preferred(it)).copied().collect();
     let first = draw(if connected.is_empty() { &free } else { &connected }, random);
     let (Some(one), Some(other)) = (first, draw(&free, random)) else { return Err(Error::Full) };
-    let cost = |it: &Candidate<'_>| cost(it, options, now);
+    let connected_bonus =
+        |it: &Candidate<'_>| if is_preferred(it) { options.connected_bonus } else { 0.0 };
+    let cost = |it: &Candidate<'_>| cost(it, options, now) - connected_bonus(it);
     Ok(if cost(one) <= cost(other) { one.id } else { other.id })
 }
 
@@ -224,13 +232,12 @@
     drawn.or(free.last()).map(|(_, it)| *it)
 }
 
-/// Cost of sending a request to `candidate`: its use of slots, less the bonuses for the same zone and
-/// for an idle connection, plus a penalty for failures.
+/// Cost of sending a request to `candidate`: its use of slots, less the bonus for the same zone, plus a
+/// penalty for failures.
 fn cost(candidate: &Candidate<'_>, options: &Options, now: Instant) -> f64 {
     let load = candidate.load;
     let zone_bonus = if candidate.is_same_zone { options.same_zone_bonus } else { 0.0 };
     let excess_failures = (load.failure_rate(now) - TOLERATED_FAILURE_RATE).max(0.0);
-    let connected_bonus = if is_connected(candidate, now) { options.connected_bonus } else { 0.0 };
-    candidate.requests / f64::from(candidate.slots.max(1)) - zone_bonus - connected_bonus
+    candidate.requests / f64::from(candidate.slots.max(1)) - zone_bonus
         + excess_failures * FAILURE_COST
 }
--- a/crates/mgw-gateway/src/forward/target.rs
+++ b/crates/mgw-gateway/src/forward/target.rs
@@ -71,7 +71,8 @@
                         requests: server.load.estimated_requests(peer_requests(&server.id), now),
                         slots,
                         is_same_zone: server.record.zone == gateway.settings.zone,
-                        is_connected: state.pool.has_idle(id, now),
+                        // The servers of a plain service are few, so each connection is used again.
+                        is_connected: service.engine.is_some() && state.pool.has_idle(id, now),
                         is_tried: self.tried.contains(&id),
                     });
                 }
