Adopt a joining group only with all its places; probe all members of groups in transition

Change: only groups that serve leave out places that do not exist, and all members of a group in transition are probed as before.

--- a/crates/mgw-fleet/src/plan.rs
+++ b/crates/mgw-fleet/src/plan.rs
@@ -338,7 +338,7 @@
         if self.is_list_growing(view) || self.awaits_fresh_list(view) {
             return Vec::new();
         }
-        let transitioning = self.transitioning_members(view.roster);
+        let transitioning = self.transitioning_members();
         let mut actions = self.liveness.due_probes(view.roster, &transitioning, view.now);
         self.adopt(view);
         self.reconcile(view, &mut actions);
@@ -366,20 +366,14 @@
             && view.now.since(self.server_count.1) < LIST_SETTLE_DELAY
     }
 
-    /// Ids of the instances whose next state a group waits for, sorted: the members that are not ready
-    /// yet, or the head that was ordered to open or to close.
-    fn transitioning_members(&self, roster: &Roster) -> Vec<SmolStr> {
-        let mut members: Vec<SmolStr> = Vec::new();
-        for group in &self.groups {
-            let is_awaited = |member: &&group::Member| match group.phase {
-                Phase::Joining => roster.instance(&member.id).is_none_or(|server| {
-                    group.member_stage(server) != Some(Stage::Ready) || server.order_count.is_none()
-                }),
-                Phase::Opening | Phase::Closing => member.rank == 0,
-                Phase::Open | Phase::Headless => false,
-            };
-            members.extend(group.members.iter().filter(is_awaited).map(|member| member.id.clone()));
-        }
+    /// Ids of the members of groups that wait for the effect of an order, sorted. Members that are
+    /// ready are among them, so that a group does not open after one of them was lost.
+    fn transitioning_members(&self) -> Vec<SmolStr> {
+        let changes =
+            |phase: Phase| matches!(phase, Phase::Joining | Phase::Opening | Phase::Closing);
+        let groups = self.groups.iter().filter(|group| changes(group.phase));
+        let members = groups.flat_map(|group| group.members.iter());
+        let mut members: Vec<SmolStr> = members.map(|member| member.id.clone()).collect();
         members.sort_unstable();
         members
     }
--- a/crates/mgw-fleet/src/plan/group.rs
+++ b/crates/mgw-fleet/src/plan/group.rs
@@ -162,7 +162,7 @@
     }
 
     /// The stage that `server` reports for this group; `None` if it reports another group or none.
-    pub(super) fn member_stage(&self, server: &Server) -> Option<Stage> {
+    fn member_stage(&self, server: &Server) -> Option<Stage> {
         server
             .record
             .membership()
@@ -479,11 +479,10 @@
         })
         .collect();
     members.sort_by_key(|(rank, _)| *rank);
-    // Another writer may leave an entry that claims the place of another member, or none that exists.
+    // Another writer may leave an entry that claims the place of another member.
     members.dedup_by_key(|(rank, _)| *rank);
     let model = members.iter().find_map(|(_, it)| it.record.engine.as_ref()?.model.clone())?;
     let size = engine.model(&model)?.group_size;
-    members.retain(|(rank, _)| *rank < size);
     let is_whole = members.len() == size;
     let head = members.first().filter(|(rank, _)| *rank == 0);
     let stage =
@@ -495,13 +494,19 @@
         Some(Stage::Joining | Stage::Ready | Stage::Broken) => return None,
         None => Phase::Headless,
     };
+    let has_head = head.is_some();
+    // A group that serves does not depend on members whose place does not exist. For one that is joining,
+    // such a place tells that the model is not yet that of the group.
+    if matches!(phase, Phase::Open | Phase::Closing) {
+        members.retain(|(rank, _)| *rank < size);
+    }
     Some(Group {
         service: service.clone(),
         name: membership.group.clone(),
         epoch: membership.epoch,
         model,
         members: members.iter().map(|(rank, server)| Member::new(server, *rank)).collect(),
-        has_head: head.is_some(),
+        has_head,
         phase,
         phase_since: now,
         // Makes the first order due immediately.
