Reserve instances only for groups that can form soon; load spares only onto empty hosts

Cause: with domains of ten and no spares, three members of a broken group of four waited 16 s for a load, and hosts that held the weights of the small model were loaded with those of the large one, so that they could form neither. Targets with idle connections were preferred also where most targets had one.

Change: instances are reserved if they have the weights or will have them within 4 s; spares are loaded only if the host has no weights; idle connections count if at most a quarter of the targets has one.

--- a/crates/mgw-fleet/src/balance.rs
+++ b/crates/mgw-fleet/src/balance.rs
@@ -30,6 +30,10 @@
 /// fails at once, and keeps its connections, would get more requests than others.
 const MAX_CONNECTED_FAILURE_RATE: f64 = 0.1;
 
+/// Idle connections count only if at most one of this many targets has one. An entry with many requests
+/// uses its connections again in any case.
+const MIN_TARGETS_PER_CONNECTED: usize = 4;
+
 /// Share of the choices that are made without regard to idle connections, so that targets without one
 /// are tried as well.
 const EXPLORED_SHARE: f64 = 0.125;
@@ -201,8 +205,10 @@
         .map(|it| (f64::from(it.slots) + options.max_queued - it.requests, it))
         .filter(|(capacity, _)| *capacity >= 1.0)
         .collect();
-    let is_exploring = random.random_bool(EXPLORED_SHARE);
-    let is_preferred = |it: &Candidate<'_>| !is_exploring && is_connected(it, now);
+    let connected_count = free.iter().filter(|(_, it)| is_connected(it, now)).count();
+    let has_few = connected_count * MIN_TARGETS_PER_CONNECTED <= free.len();
+    let prefers_connected = has_few && !random.random_bool(EXPLORED_SHARE);
+    let is_preferred = |it: &Candidate<'_>| prefers_connected && is_connected(it, now);
     let connected: Vec<(f64, &Candidate<'_>)> =
         free.iter().filter(|(_, it)| is_preferred(it)).copied().collect();
     let first = draw(if connected.is_empty() { &free } else { &connected }, random);
--- a/crates/mgw-fleet/src/plan/reserve.rs
+++ b/crates/mgw-fleet/src/plan/reserve.rs
@@ -2,15 +2,23 @@
 //!
 //! The members of a group become free one after the other, and a lost one has to be replaced first.
 //! A model with smaller groups could take the first of them at once, and the hosts would then lose
-//! the weights of the model with larger groups. So other models only get what is left over.
+//! the weights of the model with larger groups. So other models only get what is left over. Instances
+//! do not wait for a load that takes longer than [`MAX_LOAD_WAIT`].
+
+use std::time::Duration;
 
 use smol_str::SmolStr;
 
 use crate::config::{Engine, Model};
-use crate::plan::form::{FreeServers, MIN_DEMAND, relative_demand, weight_location};
+use crate::plan::form::{
+    FreeServers, MIN_DEMAND, WeightLocation, relative_demand, weight_location,
+};
 use crate::plan::{Demand, Planner, View};
 use crate::roster::Server;
 
+/// Longest remaining time of a load that instances are kept free for.
+const MAX_LOAD_WAIT: Duration = Duration::from_secs(4);
+
 impl Planner {
     /// Removes from `free` the instances that are needed for groups of `model`, up to the number of
     /// groups that it lacks.
@@ -24,9 +32,13 @@
     ) {
         let mut missing = self.missing_groups(service, engine, model, view);
         for (domain, servers) in self.unassigned_by_domain(service, view).iter() {
-            let groups = (servers.len() / model.group_size).min(missing);
+            let mut reserved: Vec<&Server> = servers
+                .iter()
+                .copied()
+                .filter(|it| self.has_weights_soon(it, model, view))
+                .collect();
+            let groups = (reserved.len() / model.group_size).min(missing);
             missing -= groups;
-            let mut reserved: Vec<&Server> = servers.clone();
             reserved.sort_by_key(|server| weight_location(server, model));
             reserved.truncate(groups * model.group_size);
             if let Some(rest) = free.get_mut(domain) {
@@ -35,6 +47,16 @@
         }
     }
 
+    /// Whether an instance has the weights of `model` on its host, or will have them within
+    /// [`MAX_LOAD_WAIT`].
+    fn has_weights_soon(&self, server: &Server, model: &Model, view: &View<'_>) -> bool {
+        let loading = self.staging.get(&server.id).filter(|staging| staging.model == model.name);
+        let ends_soon = loading.is_some_and(|staging| {
+            view.now.since(staging.started) + MAX_LOAD_WAIT >= model.cold_load_time
+        });
+        ends_soon || weight_location(server, model) != WeightLocation::Store
+    }
+
     /// Instances that belong to no group of this planner, by domain. Some of them may still have to
     /// leave a group that is over.
     fn unassigned_by_domain<'a>(&self, service: &SmolStr, view: &View<'a>) -> FreeServers<'a> {
--- a/crates/mgw-fleet/src/plan/stage.rs
+++ b/crates/mgw-fleet/src/plan/stage.rs
@@ -220,20 +220,19 @@
         self.loading.is_none() && !self.can_join(model)
     }
 
-    /// A load of `spare_model`. Without one, a load of the smallest model if the host has no weights
-    /// at all: instances that are listed later can complete a group with it.
+    /// A load of `spare_model`, or of the smallest model without one, if the host has no weights at all:
+    /// instances that are listed later can complete a group with it. An instance whose state is not
+    /// known yet may still become a member of the first groups.
     fn spare_load(
         &self,
         engine: &'a Engine,
         spare_model: Option<&'a Model>,
     ) -> Option<(&'a Server, &'a Model)> {
         let is_empty = engine.models.iter().all(|model| self.may_load(model));
+        let is_known = self.server.order_count.is_some();
         let smallest = engine.models.iter().min_by_key(|model| model.group_size);
-        let model = match spare_model {
-            Some(model) => Some(model).filter(|model| self.may_load(model)),
-            None => smallest.filter(|_| is_empty),
-        };
-        Some((self.server, model?))
+        let model = spare_model.or(smallest)?;
+        (is_empty && is_known).then_some((self.server, model))
     }
 }
 
