--- a/crates/mgw-fleet/src/plan/stage.rs
+++ b/crates/mgw-fleet/src/plan/stage.rs
@@ -221,18 +221,16 @@
     }
 
     /// A load of `spare_model`, or of the smallest model without one, if the host has no weights at all:
-    /// instances that are listed later can complete a group with it. An instance whose state is not
-    /// known yet may still become a member of the first groups.
+    /// instances that are listed later can complete a group with it.
     fn spare_load(
         &self,
         engine: &'a Engine,
         spare_model: Option<&'a Model>,
     ) -> Option<(&'a Server, &'a Model)> {
         let is_empty = engine.models.iter().all(|model| self.may_load(model));
-        let is_known = self.server.order_count.is_some();
         let smallest = engine.models.iter().min_by_key(|model| model.group_size);
         let model = spare_model.or(smallest)?;
-        (is_empty && is_known).then_some((self.server, model))
+        is_empty.then_some((self.server, model))
     }
 }
 
--- a/crates/mgw-fleet/tests/plan.rs
+++ b/crates/mgw-fleet/tests/plan.rs
@@ -362,17 +362,21 @@
 /// weights of another model.
 #[test]
 fn spares_hold_the_model_of_the_largest_groups() {
-    let mut world = Cluster::new(1, 5);
+    let mut world = Cluster::new(1, 4);
     world.demand.insert(("engines".into(), LARGE.into()), 1.0);
     world.demand.insert(("engines".into(), SMALL.into()), 0.0);
-    for (number, (_, record)) in world.records.iter_mut().enumerate() {
-        let staged = if number < 4 { vec![LARGE.into()] } else { Vec::new() };
-        record.engine.as_mut().expect("an engine").staged = staged;
+    for (_, record) in world.records.iter_mut() {
+        record.engine.as_mut().expect("an engine").staged = vec![LARGE.into()];
     }
-    world.run(&mut Planner::new(5, at(0)), 2_000);
+    let mut planner = Planner::new(5, at(0));
+    world.run(&mut planner, 2_000);
     assert_eq!(world.open_groups(LARGE).len(), 1);
+    let mut spare = record(0);
+    spare.engine.as_mut().expect("an engine").staged.clear();
+    world.records.insert("d0-x".into(), spare);
+    world.run(&mut planner, 1_000);
     let loads = loads(&world);
-    assert!(loads.contains(&("d0-n4".into(), LARGE.into())), "{loads:?}");
+    assert!(loads.contains(&("d0-x".into(), LARGE.into())), "{loads:?}");
 }
 
 /// Guards against a model with small groups that takes the instances of a broken large group, as
