--- a/review/standin/base.rs
+++ b/review/standin/base.rs
@@ -136,14 +136,14 @@
         }
     }
 
-    fn take(&mut self, size: usize) -> io::Result<Vec<u8>> {
+    pub fn take(&mut self, size: usize) -> io::Result<Vec<u8>> {
         while self.input.len() < size {
             self.fill()?;
         }
         Ok(self.input.drain(..size).collect())
     }
 
-    fn take_line(&mut self) -> io::Result<String> {
+    pub fn take_line(&mut self) -> io::Result<String> {
         loop {
             if let Some(end) = find(&self.input, b"\r\n") {
                 let line: Vec<u8> = self.input.drain(..end + 2).collect();
--- a/review/standin/deadly.rs
+++ b/review/standin/deadly.rs
@@ -52,6 +52,8 @@
             slots: 17,
             work_s: 0.02,
             queue: 34,
+            stream: (8, 0.02),
+            warm_s: 1.1,
             engine: Some(("m1", format!("d{domain}"))),
             deadly_part: has_trouble().then_some(DEADLY),
         };
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -9,6 +9,7 @@
 mod client;
 mod deadly;
 mod gateway;
+mod mixed;
 mod server;
 mod store;
 
@@ -27,6 +28,7 @@
     base::record(&format!("case {case}, disruption: {}", has_trouble()));
     let is_kept = match case.as_str() {
         "deadly-part" => deadly::run(),
+        "second-answer" => mixed::run(),
         _ => {
             eprintln!("no case is called {case}");
             std::process::exit(2);
--- a/review/standin/server.rs
+++ b/review/standin/server.rs
@@ -23,19 +23,17 @@
     pub queue: usize,
     /// The model whose weights are on the host, and the fabric domain; `None` for a plain server.
     pub engine: Option<(&'static str, String)>,
+    /// Events of a stream, and the time until the first one.
+    pub stream: (u64, f64),
+    /// Time from an order to join until the member is ready; the weights are on the host.
+    pub warm_s: f64,
     /// Part of a prompt that crashes each server which begins to write an answer on it.
     pub deadly_part: Option<&'static str>,
 }
 
-/// Time from an order to join until the member is ready; the weights are on the host.
-const WARM_S: f64 = 1.1;
-
 /// Time from the order to open until the head serves.
 const FORM_S: f64 = 0.3;
 
-/// Events of a stream.
-const EVENTS: u64 = 8;
-
 #[derive(Clone, Debug, Default)]
 struct Membership {
     group: String,
@@ -81,6 +79,10 @@
     pub reaches_store: AtomicBool,
     pub has_ended: AtomicBool,
     pub crashed_at: Mutex<Option<f64>>,
+    /// Until when it sends nothing.
+    pub silent_until: Mutex<f64>,
+    /// Share of its requests that it answers with 500.
+    pub error_share: Mutex<f64>,
 }
 
 impl Server {
@@ -100,6 +102,8 @@
             reaches_store: AtomicBool::new(true),
             has_ended: AtomicBool::new(false),
             crashed_at: Mutex::new(None),
+            silent_until: Mutex::new(0.0),
+            error_share: Mutex::new(0.0),
         });
         record(&format!("server {id} started at {address}"));
         let accepting = Arc::clone(&server);
@@ -116,6 +120,11 @@
 
     fn accept(self: Arc<Self>, listener: TcpListener) {
         for stream in listener.incoming().flatten() {
+            if self.silent_until.lock().unwrap().is_infinite() {
+                // It is dark: its connections hang.
+                self.state.lock().unwrap().streams.push(stream);
+                continue;
+            }
             if self.has_ended.load(Ordering::SeqCst) {
                 return;
             }
@@ -143,9 +152,35 @@
         }
     }
 
+    /// Sends nothing for `time`.
+    pub fn silence(&self, time: f64) {
+        record(&format!("server {} is silent for {time} s", self.id));
+        *self.silent_until.lock().unwrap() = now() + time;
+    }
+
+    /// Ends the process without a sign: its connections stay open, and nothing more comes.
+    pub fn go_dark(&self) {
+        record(&format!("server {} goes dark", self.id));
+        *self.crashed_at.lock().unwrap() = Some(now());
+        *self.silent_until.lock().unwrap() = f64::INFINITY;
+        self.has_ended.store(true, Ordering::SeqCst);
+    }
+
+    /// Waits while the server is silent.
+    fn wait_silence(&self) {
+        loop {
+            let until = *self.silent_until.lock().unwrap();
+            if now() >= until {
+                return;
+            }
+            base::sleep((until - now()).min(0.05));
+        }
+    }
+
     /// Writes the entry to the store, if the server reaches it.
     fn publish(&self) {
-        if self.has_ended.load(Ordering::SeqCst) || !self.reaches_store.load(Ordering::SeqCst) {
+        let is_silent = now() < *self.silent_until.lock().unwrap();
+        if is_silent || self.has_ended.load(Ordering::SeqCst) || !self.reaches_store.load(Ordering::SeqCst) {
             return;
         }
         let count = self.heartbeats.fetch_add(1, Ordering::SeqCst) + 1;
@@ -187,6 +222,7 @@
 
     fn serve(self: &Arc<Self>, mut wire: Wire) {
         while let Ok(request) = wire.read_message() {
+            self.wait_silence();
             if self.has_ended.load(Ordering::SeqCst) {
                 return;
             }
@@ -253,7 +289,7 @@
                 }
                 state.epoch = epoch;
                 state.model = Some(order.get("model").text());
-                let ready_at = now() + WARM_S;
+                let ready_at = now() + self.kind.warm_s;
                 state.membership = Some(Membership { group, epoch, members, ready_at, open_at: None });
                 202
             }
@@ -285,7 +321,7 @@
         let server = Arc::clone(self);
         // It reports a change at once.
         std::thread::spawn(move || {
-            for time in [0.05, FORM_S, WARM_S - FORM_S] {
+            for time in [0.05, FORM_S, server.kind.warm_s - FORM_S] {
                 base::sleep(time);
                 server.publish();
             }
@@ -357,7 +393,13 @@
         request: &Message,
         fields: Vec<(&str, String)>,
     ) -> bool {
-        base::sleep(self.kind.work_s);
+        let (events, first_s) = self.kind.stream;
+        base::sleep(first_s);
+        self.wait_silence();
+        if (base::random() % 1_000) as f64 / 1e3 < *self.error_share.lock().unwrap() {
+            record(&format!("{} answers 500", self.id));
+            return wire.send(&response(500, &fields, b"failed")).is_ok();
+        }
         let prompt = request.field("prompt-prefix").unwrap_or_default();
         let is_deadly = self
             .kind
@@ -374,9 +416,10 @@
         }
         text.push_str("Weight-Versions: 1\r\nContent-Type: text/event-stream\r\n");
         text.push_str("Transfer-Encoding: chunked\r\n\r\n");
-        for id in after + 1..=EVENTS {
+        for id in after + 1..=events {
             let event = format!("id: {id}\ndata: {id}\n\n");
             text.push_str(&format!("{:x}\r\n{event}\r\n", event.len()));
+            self.wait_silence();
             if wire.send(text.as_bytes()).is_err() {
                 return false;
             }
