review: case 3, successes without the seal of a server

Claim: a success with neither an attempt id nor a seal, which a faulty server sends on a new connection, is passed on to the caller as its answer (rule MIXED).

--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -12,6 +12,7 @@
 mod mixed;
 mod server;
 mod store;
+mod unsealed;
 
 /// Whether the disruption takes place.
 pub fn has_trouble() -> bool {
@@ -28,6 +29,7 @@
     base::record(&format!("case {case}, disruption: {}", has_trouble()));
     let is_kept = match case.as_str() {
         "deadly-part" => deadly::run(),
+        "unsealed" => unsealed::run(),
         "second-answer" => mixed::run(),
         _ => {
             eprintln!("no case is called {case}");
--- a/review/standin/server.rs
+++ b/review/standin/server.rs
@@ -81,6 +81,10 @@
     pub crashed_at: Mutex<Option<f64>>,
     /// Until when it sends nothing.
     pub silent_until: Mutex<f64>,
+    /// Share of its requests in whose place it sends bytes that are no answer of a server.
+    pub garble_share: Mutex<f64>,
+    /// Number of these.
+    pub spoilt: Mutex<u64>,
     /// Share of its requests that it answers with 500.
     pub error_share: Mutex<f64>,
 }
@@ -104,6 +108,8 @@
             crashed_at: Mutex::new(None),
             silent_until: Mutex::new(0.0),
             error_share: Mutex::new(0.0),
+            garble_share: Mutex::new(0.0),
+            spoilt: Mutex::new(0),
         });
         record(&format!("server {id} started at {address}"));
         let accepting = Arc::clone(&server);
@@ -379,7 +385,14 @@
             Some(_) => self.serve_stream(wire, request, fields),
             None => {
                 base::sleep(self.kind.work_s);
-                fields.push(("Keep-Alive", "timeout=10".into()));
+                if (base::random() % 1_000) as f64 / 1e3 < *self.garble_share.lock().unwrap() {
+                    record(&format!("{} sends bytes that are no answer in place of {attempt}", self.id));
+                    *self.spoilt.lock().unwrap() += 1;
+                    let _ = wire.send(&response(200, &[], b"It works!"));
+                    self.leave();
+                    return true;
+                }
+                fields.push(("Keep-Alive", "timeout=1".into()));
                 wire.send(&response(200, &fields, "x".repeat(800).as_bytes())).is_ok()
             }
         };
