--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -7,6 +7,7 @@
 
 mod base;
 mod client;
+mod crashes;
 mod deadly;
 mod gateway;
 mod mixed;
@@ -29,6 +30,7 @@
     base::record(&format!("case {case}, disruption: {}", has_trouble()));
     let is_kept = match case.as_str() {
         "deadly-part" => deadly::run(),
+        "crashes" => crashes::run(),
         "unsealed" => unsealed::run(),
         "second-answer" => mixed::run(),
         _ => {
