--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -11,6 +11,7 @@
 mod deadly;
 mod gateway;
 mod mixed;
+mod odd;
 mod server;
 mod store;
 mod unsealed;
@@ -31,6 +32,7 @@
     let is_kept = match case.as_str() {
         "deadly-part" => deadly::run(),
         "crashes" => crashes::run(),
+        "odd-entry" => odd::run(),
         "unsealed" => unsealed::run(),
         "second-answer" => mixed::run(),
         _ => {
