--- a/review/standin/mixed.rs
+++ b/review/standin/mixed.rs
@@ -12,10 +12,10 @@
 const GATEWAYS: usize = 9;
 
 /// Groups of four model servers, each in a domain of its own.
-const GROUPS: usize = 4;
+const GROUPS: usize = 8;
 
 /// Requests a second.
-const RATE: f64 = 80.0;
+const RATE: f64 = 150.0;
 
 /// Time that clients wait.
 const DEADLINE_S: f64 = 6.0;
@@ -58,7 +58,7 @@
     let mut events = 0;
     let found = (|| {
         let Ok(mut wire) = Wire::connect(front, 1.0) else { return Found::Cut };
-        let mut read = |wire: &mut Wire| {
+        let read = |wire: &mut Wire| {
             let left = (start + DEADLINE_S - now()).max(0.001);
             let _ = wire.stream.set_read_timeout(Some(std::time::Duration::from_secs_f64(left)));
             wire.take_line()
@@ -109,7 +109,7 @@
                 slots: 17,
                 work_s: 0.02,
                 queue: 34,
-                stream: (34, 0.11),
+                stream: (30, 0.25),
                 warm_s: 1.6,
                 engine: Some(("m0", format!("d{}", index % GROUPS))),
                 deadly_part: None,
@@ -132,24 +132,32 @@
     let heads = heads();
     let start = now();
     let troubles = std::thread::spawn(move || {
-        // Two servers of 16 fail part of their requests.
+        // Four servers of 32 fail part of their requests.
         if has_trouble() {
-            for server in &heads[2..4] {
+            for server in &heads[4..] {
                 record(&format!("server {} fails 0.45 of its requests for 6.5 s", server.id));
                 *server.error_share.lock().unwrap() = 0.45;
             }
         }
-        for (server, at) in heads.iter().take(2).zip([2.0, 4.2]) {
-            base::sleep_until(start + at);
-            // A sound server may fall silent for a second or so.
-            server.silence(1.2);
-            base::sleep(1.6);
-            if has_trouble() {
-                server.go_dark();
-            }
-        }
+        let failing: Vec<_> = heads[..4]
+            .iter()
+            .zip([2.0, 3.0, 4.0, 5.0])
+            .map(|(server, at)| {
+                let server = Arc::clone(server);
+                std::thread::spawn(move || {
+                    base::sleep_until(start + at);
+                    // A sound server may fall silent for a second or so.
+                    server.silence(1.2);
+                    base::sleep(1.6);
+                    if has_trouble() {
+                        server.go_dark();
+                    }
+                })
+            })
+            .collect();
         base::sleep_until(start + 6.5);
-        heads[2..4].iter().for_each(|server| *server.error_share.lock().unwrap() = 0.0);
+        heads[4..].iter().for_each(|server| *server.error_share.lock().unwrap() = 0.0);
+        failing.into_iter().for_each(|it| it.join().unwrap());
     });
     let mut calls = Vec::new();
     for number in 0..(RATE * 12.0) as u32 {
