--- a/crates/mgw-gateway/src/control.rs
+++ b/crates/mgw-gateway/src/control.rs
@@ -303,10 +303,8 @@
             // The instance has restarted under the same id, so the probed process has ended.
             return ProbeResult::Refused;
         }
-        if let Some(engine) = report.engine {
-            let order_count = report.order_count;
-            state.roster.apply_report(instance, report.started_ms, engine, order_count, now);
-        }
+        let Report { started_ms, order_count, engine } = report;
+        state.roster.apply_report(instance, started_ms, engine, order_count, now);
         ProbeResult::Alive
     })
 }
--- a/crates/mgw-gateway/src/topics.rs
+++ b/crates/mgw-gateway/src/topics.rs
@@ -391,7 +391,7 @@
                 record: Box::new(entry.record),
                 stamp: Some(Stamp {
                     position: update.position(record),
-                    heartbeat_count: entry.heartbeat_count,
+                    heartbeat_count: Some(entry.heartbeat_count),
                 }),
             },
             Some(Err(error)) => {
