Pass on only what proves to be the response of the server

verify::verify is now the only maker of the type from which a head can be sent. What the caller has got is one enum; the right to send a head and the kept response exist only in its first state.

Ruled out: that sound servers leave out the id or the seal.

A refusal without an id no longer promises that a request has not run, on a new connection either.

--- a/crates/mgw-gateway/src/exchange.rs
+++ b/crates/mgw-gateway/src/exchange.rs
@@ -3,9 +3,9 @@
 use std::fmt;
 
 use bytes::BytesMut;
-use mgw_http::head::Response;
 
 use crate::memory::Reservation;
+use crate::verify::Verified;
 
 /// Why an attempt ended without a usable response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -82,7 +82,7 @@
 #[derive(Debug)]
 pub struct Answer {
     /// Its head.
-    pub head: Response,
+    pub head: Verified,
     /// Its body.
     pub body: BytesMut,
     /// Memory reserved for the body.
--- a/crates/mgw-gateway/src/forward.rs
+++ b/crates/mgw-gateway/src/forward.rs
@@ -3,6 +3,7 @@
 
 mod admit;
 mod attempt;
+mod delivery;
 mod exchange;
 mod receive;
 mod record;
@@ -17,24 +18,23 @@
 use mgw_base::time::Instant;
 use mgw_event::Kind as EventKind;
 use mgw_event::event::Body;
-use mgw_fleet::config::{Config, Kind, Route};
+use mgw_fleet::config::Kind;
 use mgw_fleet::roster::ServerKey;
 use mgw_http::head::Request;
 use mgw_http::sse::Splitter;
-use mgw_route::poison::Part;
 use mgw_route::retry;
 use platform::header;
 use rand::Rng;
-use smol_str::SmolStr;
-use tokio::sync::Notify;
 
 use crate::clock;
 use crate::connection::Connection;
-use crate::exchange::{Answer, Failure, Outcome};
+use crate::exchange::{Failure, Outcome};
+use crate::forward::admit::Admitted;
+use crate::forward::delivery::Delivery;
 use crate::forward::exchange::{Exchange, Progress};
 use crate::forward::target::Target;
 use crate::gateway::Gateway;
-use crate::in_flight::{Alarm, RequestKey};
+use crate::in_flight::Alarm;
 use crate::reply::{Cause, Reply};
 
 /// Number of attempts that sent nothing, as with a failed connection, after which a request fails.
@@ -89,73 +89,50 @@
     Suspended(Box<Exchange>),
 }
 
-/// An admitted request with the state of its attempts and its response.
+/// An admitted request that is being served.
 struct ActiveRequest<'a> {
-    gateway: &'a Rc<Gateway>,
-    request: &'a Request,
-    body: Bytes,
-    /// What the caller states about the request in header fields.
-    metadata: header::RequestMetadata,
-    /// The configuration at admission, which applies to the request until its end.
-    config: Rc<Config>,
-    /// Index of the route in `config`.
-    route_index: usize,
-    service: SmolStr,
-    /// The team that the key belongs to, if any.
-    team: Option<SmolStr>,
-    /// Priority sent to servers, 0 to 9; 0 is the highest.
-    priority: u8,
-    /// When its head was read.
-    arrived: Instant,
-    deadline: Instant,
-    request_key: RequestKey,
-    /// Notified when an alarm is raised.
-    wake: Rc<Notify>,
+    admitted: Admitted<'a>,
+    attempts: Attempts,
+    current: Current,
+    /// What the caller has got of the response.
+    delivery: Delivery,
+    /// Splits a stream into events, and knows the last complete one.
+    splitter: Splitter,
+}
+
+/// What is kept over all attempts of a request.
+#[derive(Debug, Default)]
+struct Attempts {
     /// Servers of all attempts, including those that sent nothing. They are not chosen again.
     tried: Vec<ServerKey>,
     /// Number of attempts so far, not counting those that sent nothing.
-    attempts: u32,
+    sent: u32,
     /// Number of attempts that servers refused, as far as is known without running the request.
-    refusals: u32,
+    refused: u32,
     /// Number of attempts that sent nothing.
     failed_connects: usize,
-    /// Whether a server may have executed it.
+    /// Whether a server may have executed the request.
     may_have_run: bool,
-    /// Whether sending it has begun in the present attempt.
-    has_begun_sending: bool,
     /// Whether a retry has already been drawn from the retry budget for the next attempt.
     has_retry_permit: bool,
-    /// Splits a stream into events, and knows the last complete one.
-    splitter: Splitter,
-    /// Whether the head of a response has been passed on to the caller.
-    is_started: bool,
-    /// Media type in the head that was passed on; empty if it states none.
-    media_type: SmolStr,
-    /// Whether this is the last request of the caller's connection.
-    is_last: bool,
-    /// When the first event or the whole response was passed on.
-    first_event: Option<Instant>,
-    /// Progress of the server of the present attempt.
-    progress: Progress,
     /// Exchanges with other servers that may still answer. They end once something of an answer is
     /// passed on.
     suspended: Vec<Exchange>,
     /// The suspended exchange whose server goes on, until the request returns to it.
     going_on: Option<Exchange>,
-    /// [`Exchange::given_up_at`] of the present exchange.
-    given_up_at: Option<Instant>,
-    /// When events were last passed on, and the longest time between two such times.
-    event_gap: (Option<Instant>, Duration),
-    /// Fingerprint by which crashes are blamed on it.
-    fingerprint: u128,
-    /// Whether it is suspected of having crashed a server.
-    suspect: bool,
-    /// Parts of its prompt that other requests may share.
-    shared_parts: Vec<Part>,
-    /// The server of the present or latest attempt; `None` before the first.
+}
+
+/// State of the present attempt, or of the latest one.
+#[derive(Debug, Default)]
+struct Current {
+    /// The server; `None` before the first attempt.
     target: Option<Target>,
-    /// An error response of a server, kept for the caller in case no retry succeeds.
-    fallback: Option<Answer>,
+    /// Whether sending the request has begun.
+    has_begun_sending: bool,
+    /// Progress of the server.
+    progress: Progress,
+    /// [`Exchange::given_up_at`] of its exchange.
+    given_up_at: Option<Instant>,
 }
 
 /// Admits and serves a request whose body has been read, up to the end of its response. `arrived`
@@ -170,9 +147,10 @@
 ) -> Persistence {
     let metadata = header::parse_request_metadata(&request.fields);
     match admit::admit(gateway, request, body, metadata, arrived, is_last) {
-        Ok(mut active) => {
-            let persistence = active.run(connection).await;
-            gateway.with(|state| state.requests.remove(active.request_key));
+        Ok(admitted) => {
+            let request_key = admitted.request_key;
+            let persistence = ActiveRequest::new(admitted).run(connection).await;
+            gateway.with(|state| state.requests.remove(request_key));
             persistence
         }
         Err(cause) => reject(gateway, connection, cause, Some(request), is_last).await,
@@ -208,9 +186,14 @@
 }
 
 impl ActiveRequest<'_> {
-    /// The route of the request.
-    fn route(&self) -> &Route {
-        &self.config.routes()[self.route_index]
+    fn new(admitted: Admitted<'_>) -> ActiveRequest<'_> {
+        ActiveRequest {
+            admitted,
+            attempts: Attempts::default(),
+            current: Current::default(),
+            delivery: Delivery::default(),
+            splitter: Splitter::default(),
+        }
     }
 
     /// Makes attempts until one succeeds or no other one is allowed, and sends the response.
@@ -227,33 +210,35 @@
                 Ok(Source::Target(target)) => self.attempt(caller, target).await,
                 Ok(Source::Suspended(exchange)) => self.return_to(caller, *exchange).await,
                 // Most causes of a missing target would state that the request has not run.
-                Err(_) if self.may_have_run => return self.fail(caller, Cause::ServerFailed).await,
+                Err(_) if self.attempts.may_have_run => {
+                    return self.fail(caller, Cause::ServerFailed).await;
+                }
                 Err(cause) => return self.fail(caller, cause).await,
             };
             next = match result {
                 Ok(Outcome::Streamed) => {
                     self.record_completion("streamed", 200);
-                    return self.persistence();
+                    return self.admitted.persistence();
                 }
                 Ok(Outcome::Answer(answer)) => {
-                    self.may_have_run = true;
+                    self.attempts.may_have_run = true;
                     // The server does not state that it has not run the request, but the caller
                     // would take its status for that.
-                    if header::is_not_run_promise(answer.head.status)
-                        && !self.route().kind.is_repeatable()
+                    if header::is_not_run_promise(answer.head.head().status)
+                        && !self.admitted.route().kind.is_repeatable()
                     {
                         return self.fail(caller, Cause::ServerFailed).await;
                     }
-                    let Some(retry) = self.next_after_answer(answer.head.status) else {
+                    let Some(retry) = self.next_after_answer(answer.head.head().status) else {
                         self.end_suspended();
                         return self.send_answer(caller, answer).await;
                     };
-                    self.fallback = Some(answer);
+                    self.delivery.keep(answer);
                     retry
                 }
                 Err(Failure::CallerGone) => {
                     self.record_event(EventKind::RequestBroken, "caller disconnected");
-                    self.gateway.count("requests", "caller_left");
+                    self.admitted.gateway.count("requests", "caller_left");
                     return Persistence::Close;
                 }
                 Err(failure) => {
@@ -297,14 +282,17 @@
                 Some(Next::Suspended)
             }
             _ if self.prepare_retry(failure) => Some(Next::Target),
-            _ if failure.is_server_failure() && !self.suspended.is_empty() => Some(Next::Suspended),
+            _ if failure.is_server_failure() && !self.attempts.suspended.is_empty() => {
+                Some(Next::Suspended)
+            }
             _ => None,
         }
     }
 
     /// What to do after an answer with `status`; `None` if the caller gets it.
     fn next_after_answer(&mut self, status: u16) -> Option<Next> {
-        let may_go_on = !self.suspended.is_empty() || self.route().kind == Kind::Idempotent;
+        let may_go_on =
+            !self.attempts.suspended.is_empty() || self.admitted.route().kind == Kind::Idempotent;
         match status {
             // 504 Gateway Timeout: no time is left.
             504 => None,
@@ -316,9 +304,9 @@
     /// The cause in the local reply after the failure of the last attempt.
     fn failure_cause(&self, failure: Failure) -> Cause {
         match failure {
-            Failure::Deadline if self.may_have_run => Cause::Timeout,
+            Failure::Deadline if self.attempts.may_have_run => Cause::Timeout,
             Failure::Deadline => Cause::TooLate,
-            _ if self.may_have_run => Cause::ServerFailed,
+            _ if self.attempts.may_have_run => Cause::ServerFailed,
             _ => self.refusal_cause(),
         }
     }
@@ -335,33 +323,39 @@
     /// that sent nothing, or draws a retry from the budget unless one has already been drawn.
     fn prepare_retry(&mut self, failure: Failure) -> bool {
         let now = clock::now();
-        let is_repeatable = self.is_repeatable() || !self.may_have_run;
-        if !failure.is_server_failure() || !is_repeatable || now + MIN_ATTEMPT_TIME >= self.deadline
+        let is_repeatable = self.is_repeatable() || !self.attempts.may_have_run;
+        if !failure.is_server_failure()
+            || !is_repeatable
+            || now + MIN_ATTEMPT_TIME >= self.admitted.deadline
         {
             return false;
         }
         if matches!(failure, Failure::Connect | Failure::Withdrawn) {
-            self.failed_connects += 1;
-            return self.failed_connects < MAX_FAILED_CONNECTS;
+            self.attempts.failed_connects += 1;
+            return self.attempts.failed_connects < MAX_FAILED_CONNECTS;
         }
         if !self.has_attempts_left() || self.choose_target().is_err() {
             return false;
         }
-        std::mem::take(&mut self.has_retry_permit) || self.draw_retry(now)
+        std::mem::take(&mut self.attempts.has_retry_permit) || self.draw_retry(now)
     }
 
     /// Whether the request may be sent again although it may have run. A stream that has begun
     /// needs an id after which it goes on.
     fn is_repeatable(&self) -> bool {
-        let has_position = !self.is_started || self.splitter.last_id().is_some();
-        has_position && self.route().kind.is_repeatable()
+        let has_position = !self.delivery.is_started() || self.splitter.last_id().is_some();
+        has_position && self.admitted.route().kind.is_repeatable()
     }
 
     /// Whether the route allows another attempt. Once a stream has begun, servers that refused it
     /// without running it do not use up attempts.
     fn has_attempts_left(&self) -> bool {
-        let free = if self.is_started { self.refusals.min(MAX_FREE_REFUSALS) } else { 0 };
-        self.attempts - free < self.route().max_attempts
+        let free = if self.delivery.is_started() {
+            self.attempts.refused.min(MAX_FREE_REFUSALS)
+        } else {
+            0
+        };
+        self.attempts.sent - free < self.admitted.route().max_attempts
     }
 
     /// Draws a retry from the budget of the service; records an event if it is refused.
@@ -370,13 +364,13 @@
             kind: retry::Kind::Retry,
             idempotent: true,
             written: false,
-            attempts: self.attempts,
-            deadline: self.deadline,
+            attempts: self.attempts.sent,
+            deadline: self.admitted.deadline,
             expected_duration: MIN_ATTEMPT_TIME,
         };
-        let drawn = self
-            .gateway
-            .with(|state| state.retry_budgets.withdraw(&self.service, &retry_request, now));
+        let drawn = self.admitted.gateway.with(|state| {
+            state.retry_budgets.withdraw(&self.admitted.service, &retry_request, now)
+        });
         if let Err(error) = &drawn {
             self.record_event(EventKind::RetryBudgetSpent, &error.to_string());
         }
@@ -389,7 +383,7 @@
         F: Future<Output = T>,
     {
         tokio::pin!(work);
-        let wake = Rc::clone(&self.wake);
+        let wake = Rc::clone(&self.admitted.wake);
         loop {
             tokio::select! {
                 biased;
@@ -413,7 +407,7 @@
     {
         tokio::pin!(work);
         loop {
-            let suspended = std::mem::take(&mut self.suspended);
+            let suspended = std::mem::take(&mut self.attempts.suspended);
             let either = async {
                 tokio::select! {
                     biased;
@@ -422,7 +416,7 @@
                 }
             };
             let waited = self.wait(caller, either).await;
-            self.suspended = suspended;
+            self.attempts.suspended = suspended;
             match waited? {
                 Either::Done(result) => return Ok(result),
                 Either::Readable(index) if self.goes_on(index) => return Err(Failure::Superseded),
@@ -436,8 +430,8 @@
     /// and the retry budget permits it.
     fn take_failure(&mut self) -> Option<Failure> {
         let now = clock::now();
-        let alarm = self.gateway.with(|state| {
-            let in_flight = state.requests.get_mut(self.request_key)?;
+        let alarm = self.admitted.gateway.with(|state| {
+            let in_flight = state.requests.get_mut(self.admitted.request_key)?;
             in_flight.last_progress = now;
             in_flight.alarm.take()
         })?;
@@ -446,14 +440,15 @@
             Alarm::Stalled => {
                 let may_move = self.is_repeatable()
                     && self.has_attempts_left()
-                    && now + MIN_ATTEMPT_TIME < self.deadline
+                    && now + MIN_ATTEMPT_TIME < self.admitted.deadline
                     && self.choose_target().is_ok()
                     && self.draw_retry(now);
-                self.has_retry_permit = may_move;
+                self.attempts.has_retry_permit = may_move;
                 let is_given_up = self
+                    .current
                     .target
                     .as_ref()
-                    .is_some_and(|it| self.is_given_up(it.id, self.given_up_at));
+                    .is_some_and(|it| self.is_given_up(it.id, self.current.given_up_at));
                 (may_move || is_given_up).then_some(Failure::Stalled)
             }
         }
--- a/crates/mgw-gateway/src/forward/admit.rs
+++ b/crates/mgw-gateway/src/forward/admit.rs
@@ -5,9 +5,8 @@
 
 use bytes::Bytes;
 use mgw_base::time::Instant;
-use mgw_fleet::config::{Config, Principal};
+use mgw_fleet::config::{Config, Principal, Route};
 use mgw_http::head::Request;
-use mgw_http::sse::Splitter;
 use mgw_route::poison::Part;
 use mgw_route::quarantine::{self, Status};
 use platform::header;
@@ -15,10 +14,9 @@
 use smol_str::SmolStr;
 use tokio::sync::Notify;
 
-use crate::forward::exchange::Progress;
-use crate::forward::{ActiveRequest, NO_TIMEOUT};
+use crate::forward::{NO_TIMEOUT, Persistence};
 use crate::gateway::{Gateway, State};
-use crate::in_flight::{self, Wait};
+use crate::in_flight::{self, RequestKey, Wait};
 use crate::reply::Cause;
 
 /// Time before the caller's deadline at which a request fails, so that the response still reaches
@@ -28,6 +26,53 @@
 /// Timeout of requests that state no deadline; the route's timeout also applies.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// An admitted request; it stays the same up to the end of its response.
+pub(super) struct Admitted<'a> {
+    pub(super) gateway: &'a Rc<Gateway>,
+    pub(super) request: &'a Request,
+    pub(super) body: Bytes,
+    /// What the caller states about the request in header fields.
+    pub(super) metadata: header::RequestMetadata,
+    /// The configuration at admission, which applies to the request until its end.
+    pub(super) config: Rc<Config>,
+    /// Index of the route in `config`.
+    route_index: usize,
+    pub(super) service: SmolStr,
+    /// The team that the key belongs to, if any.
+    pub(super) team: Option<SmolStr>,
+    /// Priority sent to servers, 0 to 9; 0 is the highest.
+    pub(super) priority: u8,
+    /// When its head was read.
+    pub(super) arrived: Instant,
+    pub(super) deadline: Instant,
+    pub(super) request_key: RequestKey,
+    /// Notified when an alarm is raised.
+    pub(super) wake: Rc<Notify>,
+    /// Whether this is the last request of the caller's connection.
+    is_last: bool,
+    /// Fingerprint by which crashes are blamed on it.
+    pub(super) fingerprint: u128,
+    /// Whether it is suspected of having crashed a server.
+    pub(super) suspect: bool,
+    /// Parts of its prompt that other requests may share.
+    pub(super) shared_parts: Vec<Part>,
+}
+
+impl Admitted<'_> {
+    /// The route of the request.
+    pub(super) fn route(&self) -> &Route {
+        &self.config.routes()[self.route_index]
+    }
+
+    /// Whether the caller's connection stays open after this request.
+    pub(super) fn persistence(&self) -> Persistence {
+        match self.is_last || !self.request.is_http_11 {
+            true => Persistence::Close,
+            false => Persistence::KeepAlive,
+        }
+    }
+}
+
 /// Decides whether a request may be served, from the configuration, the age of its proof, the
 /// shutdown and the quarantine. An admitted request is added to the table of requests in flight;
 /// the caller of this function removes it.
@@ -42,7 +87,7 @@
     metadata: header::RequestMetadata,
     arrived: Instant,
     is_last: bool,
-) -> Result<ActiveRequest<'a>, Cause> {
+) -> Result<Admitted<'a>, Cause> {
     let config = gateway.config().ok_or(Cause::NoConfig)?;
     let host = request.fields.get_str("host").ok_or(Cause::Malformed)?;
     let revocation_timeout = gateway.settings().bounds.key_revocation_timeout;
@@ -97,7 +142,7 @@
         });
         Ok((service, suspect, request_key))
     })?;
-    Ok(ActiveRequest {
+    Ok(Admitted {
         gateway,
         request,
         body,
@@ -111,28 +156,10 @@
         deadline,
         request_key,
         wake,
-        tried: Vec::new(),
-        attempts: 0,
-        refusals: 0,
-        failed_connects: 0,
-        may_have_run: false,
-        has_begun_sending: false,
-        has_retry_permit: false,
-        splitter: Splitter::default(),
-        is_started: false,
-        media_type: SmolStr::default(),
         is_last,
-        first_event: None,
-        progress: Progress::default(),
-        suspended: Vec::new(),
-        going_on: None,
-        given_up_at: None,
-        event_gap: (None, Duration::ZERO),
         fingerprint,
         suspect,
         shared_parts,
-        target: None,
-        fallback: None,
     })
 }
 
--- a/crates/mgw-gateway/src/forward/attempt.rs
+++ b/crates/mgw-gateway/src/forward/attempt.rs
@@ -45,17 +45,17 @@
         caller: &mut Connection,
         target: Target,
     ) -> Result<Outcome, Failure> {
-        self.gateway.with(|state| {
+        self.admitted.gateway.with(|state| {
             limit::record_sent(state, target.id);
             if let Some(load) = state.roster.load_mut(target.id) {
                 load.in_flight += 1;
             }
         });
-        self.tried.push(target.id);
-        self.target = Some(target.clone());
-        self.has_begun_sending = false;
-        self.progress = Progress::default();
-        self.given_up_at = None;
+        self.attempts.tried.push(target.id);
+        self.current.target = Some(target.clone());
+        self.current.has_begun_sending = false;
+        self.current.progress = Progress::default();
+        self.current.given_up_at = None;
         match self.open(caller, &target).await {
             Ok(exchange) => self.follow(caller, exchange).await,
             Err(failure) => {
@@ -73,16 +73,18 @@
         target: &Target,
     ) -> Result<Exchange, Failure> {
         let mut connection = self.connect(caller, target).await?;
-        self.attempts += 1;
+        self.attempts.sent += 1;
         let now = clock::now();
-        if self.attempts == 1 {
-            self.gateway.with(|state| state.retry_budgets.count_request(&self.service, now));
+        if self.attempts.sent == 1 {
+            self.admitted
+                .gateway
+                .with(|state| state.retry_budgets.count_request(&self.admitted.service, now));
         }
         self.wait_for_response(target.id);
         let output = self.encode_request(target, now);
         let is_fully_sent = self.send_request(caller, &mut connection, &output).await?;
         // A HEAD response that is sent once more could be taken for the head of the next one.
-        let allows_reuse = is_fully_sent && !self.request.is_head();
+        let allows_reuse = is_fully_sent && !self.admitted.request.is_head();
         Ok(Exchange::new(target.clone(), connection, allows_reuse))
     }
 
@@ -93,11 +95,11 @@
 
     /// Time without the head of a response after which the request may move to another server.
     fn response_timeout(&self) -> Duration {
-        match self.route().kind {
+        match self.admitted.route().kind {
             Kind::AtMostOnce | Kind::Stream => NO_TIMEOUT,
-            Kind::Idempotent => {
-                (self.route().latency_target * LATENCY_TARGETS_PER_ATTEMPT).max(MIN_ATTEMPT_TIME)
-            }
+            Kind::Idempotent => (self.admitted.route().latency_target
+                * LATENCY_TARGETS_PER_ATTEMPT)
+                .max(MIN_ATTEMPT_TIME),
             Kind::ResumableStream => FIRST_EVENT_TIMEOUT,
         }
     }
@@ -128,17 +130,17 @@
         target: &Target,
     ) -> Result<Connection, Failure> {
         let now = clock::now();
-        let pooled = match self.metadata.attempt_id.is_empty() {
+        let pooled = match self.admitted.metadata.attempt_id.is_empty() {
             true => None,
-            false => self.gateway.with(|state| state.pool.take(target.id, now)),
+            false => self.admitted.gateway.with(|state| state.pool.take(target.id, now)),
         };
         if let Some(connection) = pooled {
             return Ok(connection);
         }
-        self.gateway.count("connections", "opened");
+        self.admitted.gateway.count("connections", "opened");
         let connecting = Connection::connect(target.address, CONNECT_TIMEOUT);
         let connection = self.wait(caller, connecting).await?.map_err(|_| Failure::Connect)?;
-        match self.gateway.with(|state| takes_requests(state, target)) {
+        match self.admitted.gateway.with(|state| takes_requests(state, target)) {
             true => Ok(connection),
             false => Err(Failure::Withdrawn),
         }
@@ -146,19 +148,20 @@
 
     /// The bytes of the request for `target`, with the time left until the deadline as of `now`.
     pub(super) fn encode_request(&self, target: &Target, now: Instant) -> BytesMut {
-        let mut output = BytesMut::with_capacity(1_024 + self.body.len());
-        let time_left =
-            Duration::from_micros(self.deadline.as_micros().saturating_sub(now.as_micros()));
+        let mut output = BytesMut::with_capacity(1_024 + self.admitted.body.len());
+        let time_left = Duration::from_micros(
+            self.admitted.deadline.as_micros().saturating_sub(now.as_micros()),
+        );
         let upstream = header::UpstreamMetadata {
             timeout: time_left,
             server_id: &target.process.id,
-            team: self.team.as_deref(),
-            last_event_id: self.splitter.last_id().or(self.metadata.last_event_id),
-            priority: Some(self.priority),
-            body_length: self.body.len(),
+            team: self.admitted.team.as_deref(),
+            last_event_id: self.splitter.last_id().or(self.admitted.metadata.last_event_id),
+            priority: Some(self.admitted.priority),
+            body_length: self.admitted.body.len(),
         };
-        header::write_upstream_head(&mut output, self.request, &upstream);
-        output.extend_from_slice(&self.body);
+        header::write_upstream_head(&mut output, self.admitted.request, &upstream);
+        output.extend_from_slice(&self.admitted.body);
         output
     }
 
@@ -170,7 +173,7 @@
         connection: &mut Connection,
         output: &[u8],
     ) -> Result<bool, Failure> {
-        self.has_begun_sending = true;
+        self.current.has_begun_sending = true;
         self.wait(caller, connection.send(output)).await?.map_err(|_| Failure::ConnectionLost)
     }
 
@@ -179,7 +182,7 @@
         let id = exchange.target.id;
         if let Reuse::Idle { timeout } = exchange.reuse {
             let now = clock::now();
-            self.gateway.with(|state| {
+            self.admitted.gateway.with(|state| {
                 if is_ready(state, &exchange.target) {
                     state.pool.put(id, exchange.connection, timeout, now);
                 }
@@ -190,7 +193,7 @@
 
     /// Counts the request as no longer in flight at a target.
     fn leave_target(&self, id: ServerKey) {
-        self.gateway.with(|state| {
+        self.admitted.gateway.with(|state| {
             if let Some(load) = state.roster.load_mut(id) {
                 load.in_flight = load.in_flight.saturating_sub(1);
             }
--- a/crates/mgw-gateway/src/forward/exchange.rs
+++ b/crates/mgw-gateway/src/forward/exchange.rs
@@ -14,6 +14,7 @@
 use crate::forward::target::Target;
 use crate::memory::Reservation;
 use crate::pool;
+use crate::verify::Verified;
 
 /// What has been read of a response.
 #[derive(Debug)]
@@ -23,9 +24,9 @@
     /// The head of a response to another request, whose body is skipped.
     Foreign { decoder: Decoder, skipped: BytesMut },
     /// The head of a stream that is relayed.
-    Stream { response: Response, decoder: Decoder, body: BytesMut },
+    Stream { response: Verified, decoder: Decoder, body: BytesMut },
     /// The head of a response that is read as a whole.
-    Body { response: Response, decoder: Decoder, body: BytesMut, reservation: Reservation },
+    Body { response: Verified, decoder: Decoder, body: BytesMut, reservation: Reservation },
 }
 
 /// Progress of a server with the response to a request.
@@ -87,7 +88,7 @@
     pub(super) fn ends_with_connection(&self) -> bool {
         match &self.stage {
             Stage::Stream { response, .. } | Stage::Body { response, .. } => {
-                response.framing == Framing::Close
+                response.head().framing == Framing::Close
             }
             Stage::Head | Stage::Foreign { .. } => false,
         }
--- a/crates/mgw-gateway/src/forward/receive.rs
+++ b/crates/mgw-gateway/src/forward/receive.rs
@@ -5,6 +5,7 @@
 
 use bytes::BytesMut;
 use mgw_event::Kind as EventKind;
+use mgw_fleet::roster::ServerKey;
 use mgw_http::body::{Decoder, Framing};
 use mgw_http::head::{self, Response};
 use platform::header;
@@ -13,9 +14,11 @@
 use crate::connection::Connection;
 use crate::exchange::{Answer, Failure, Outcome};
 use crate::forward::ActiveRequest;
+use crate::forward::delivery::Streaming;
 use crate::forward::exchange::{Exchange, Stage};
 use crate::limit;
 use crate::notice;
+use crate::verify::{self, Verified};
 
 /// Maximum size of a server's response head in bytes.
 const MAX_HEAD_BYTES: usize = 32 << 10;
@@ -60,46 +63,79 @@
         caller: &mut Connection,
         exchange: &mut Exchange,
     ) -> Result<(), Failure> {
-        let target = exchange.target.id;
         let response = self.read_head(caller, &mut exchange.connection).await?;
-        let response_metadata = header::parse_response_metadata(&response);
-        self.gateway.with(|state| {
-            notice::record(state, &exchange.target.process, &response, &response_metadata);
-        });
-        if !self.is_own(&response, &response_metadata, exchange.connection.is_reused)? {
-            return begin_skip(exchange, &response);
+        let metadata = header::parse_response_metadata(&response);
+        if metadata.attempt_id.is_some() {
+            self.admitted.gateway.with(|state| {
+                notice::record(state, &exchange.target.process, &response, &metadata);
+            });
         }
-        self.gateway.with(|state| {
+        let options = verify::Options {
+            attempt_id: &self.admitted.metadata.attempt_id,
+            is_repeatable: self.is_repeatable(),
+            is_reused: exchange.connection.is_reused,
+        };
+        match verify::verify(response, &metadata, &options) {
+            Ok(verify::Outcome::Answer(head)) => {
+                self.record_response(exchange.target.id, head.head(), &metadata);
+                self.begin_body(exchange, head)
+            }
+            Ok(verify::Outcome::Refusal(response)) => {
+                self.record_response(exchange.target.id, &response, &metadata);
+                drain_refusal(exchange, &response);
+                Err(Failure::NotRun { status: response.status })
+            }
+            Ok(verify::Outcome::Foreign { response, reason }) => {
+                self.record_event(EventKind::AnswerDiscarded, &reason);
+                begin_skip(exchange, &response)
+            }
+            Err(verify::Error::UnidentifiedRefusal { status }) => {
+                Err(Failure::UnidentifiedRefusal { status })
+            }
+            Err(verify::Error::NotOfServer { reason }) => {
+                self.record_event(EventKind::AnswerDiscarded, &reason);
+                Err(Failure::Malformed)
+            }
+        }
+    }
+
+    /// Reports the head of a response to this request to the load of the server `target`.
+    fn record_response(
+        &self,
+        target: ServerKey,
+        response: &Response,
+        metadata: &header::ResponseMetadata,
+    ) {
+        self.admitted.gateway.with(|state| {
             let now = clock::now();
-            limit::record(state, target, &response, &response_metadata);
+            limit::record(state, target, response, metadata);
             let Some(load) = state.roster.load_mut(target) else { return };
             load.clear_avoidance();
-            if let Some(requests) = response_metadata.outstanding_requests {
+            if let Some(requests) = metadata.outstanding_requests {
                 load.record_report(requests, now);
             }
-            let is_failure = response_metadata.is_not_executed || response.status >= 500;
-            load.record_result(is_failure, now);
+            load.record_result(metadata.is_not_executed || response.status >= 500, now);
         });
-        if response_metadata.is_not_executed {
-            drain_refusal(exchange, &response);
-            return Err(Failure::NotRun { status: response.status });
-        }
+    }
+
+    /// Begins to read the body of the response to this request.
+    fn begin_body(&self, exchange: &mut Exchange, response: Verified) -> Result<(), Failure> {
         let body = BytesMut::new();
-        exchange.stage = match self.is_stream(&response) {
+        exchange.stage = match self.is_stream(response.head()) {
             true => {
-                let decoder = Decoder::new(response.framing);
+                let decoder = Decoder::new(response.head().framing);
                 Stage::Stream { response, decoder, body }
             }
-            false if self.is_started => {
-                return Err(Failure::NotResumed { status: response.status });
+            false if self.delivery.is_started() => {
+                return Err(Failure::NotResumed { status: response.head().status });
             }
             false => {
-                let framing = match self.request.is_head() {
+                let framing = match self.admitted.request.is_head() {
                     true => Framing::Length(0),
-                    false => response.framing,
+                    false => response.head().framing,
                 };
                 let decoder = Decoder::new(framing);
-                let reservation = self.gateway.response_bodies.reserve();
+                let reservation = self.admitted.gateway.response_bodies.reserve();
                 Stage::Body { response, decoder, body, reservation }
             }
         };
@@ -109,40 +145,14 @@
     /// Whether a response is a stream for the caller. One without a body is not. One that resumes a
     /// stream must be of the same kind as the first one, whose head the caller has.
     fn is_stream(&self, response: &Response) -> bool {
-        let is_same_kind =
-            response.status == 200 && response.media_type().eq_ignore_ascii_case(&self.media_type);
-        self.route().kind.is_stream()
+        let is_same_kind = |stream: &Streaming| {
+            response.status == 200 && response.media_type().eq_ignore_ascii_case(&stream.media_type)
+        };
+        self.admitted.route().kind.is_stream()
             && response.is_success()
             && response.status != 204
-            && !self.request.is_head()
-            && (!self.is_started || is_same_kind)
-    }
-
-    /// Whether a response is the one to this request. Others, which name another attempt, are
-    /// skipped, up to a limit.
-    ///
-    /// A response without an attempt id is taken for that of this request only if no other one can
-    /// arrive on the connection; otherwise it is skipped. After such a refusal, a request that may
-    /// be repeated fails, so that it is sent to another server, and any other one waits.
-    fn is_own(
-        &self,
-        response: &Response,
-        metadata: &header::ResponseMetadata,
-        is_reused: bool,
-    ) -> Result<bool, Failure> {
-        let status = response.status;
-        let text = match &metadata.attempt_id {
-            Some(attempt) if *attempt != self.metadata.attempt_id => {
-                format!("response to attempt {attempt}, status {status}")
-            }
-            None if is_reused && metadata.is_not_executed && self.is_repeatable() => {
-                return Err(Failure::UnidentifiedRefusal { status });
-            }
-            None if is_reused => format!("response without an attempt id, status {status}"),
-            Some(_) | None => return Ok(true),
-        };
-        self.record_event(EventKind::AnswerDiscarded, &text);
-        Ok(false)
+            && !self.admitted.request.is_head()
+            && self.delivery.stream().is_none_or(is_same_kind)
     }
 
     /// Reads the head of the next response that is not an interim one.
@@ -202,12 +212,12 @@
         caller: &mut Connection,
         connection: &mut Connection,
     ) -> Result<io::Result<usize>, Failure> {
-        if clock::now() >= self.deadline {
+        if clock::now() >= self.admitted.deadline {
             return Err(Failure::Deadline);
         }
         let read = self.wait_or_switch(caller, connection.read()).await?;
         if matches!(read, Ok(size) if size > 0) {
-            self.given_up_at = None;
+            self.current.given_up_at = None;
         }
         Ok(read)
     }
@@ -237,7 +247,7 @@
                 break;
             }
             match self.read_from(caller, connection).await? {
-                Ok(0) if body.is_empty() && response.is_success() => {
+                Ok(0) if body.is_empty() && response.head().is_success() => {
                     return Err(Failure::ConnectionLost);
                 }
                 Ok(0) => decoder.finish().map_err(|_| Failure::ConnectionLost)?,
@@ -247,10 +257,10 @@
         }
         match std::mem::replace(&mut exchange.stage, Stage::Head) {
             Stage::Body { response, body, reservation, .. } => {
-                if response.is_success() {
+                if response.head().is_success() {
                     self.record_answering(true);
                 }
-                exchange.finish(&response);
+                exchange.finish(response.head());
                 Ok(Outcome::Answer(Answer { head: response, body, reservation }))
             }
             Stage::Head | Stage::Foreign { .. } | Stage::Stream { .. } => Err(Failure::Malformed),
--- a/crates/mgw-gateway/src/forward/record.rs
+++ b/crates/mgw-gateway/src/forward/record.rs
@@ -27,18 +27,18 @@
     /// Records the failure of an attempt: for the request, the load of the target, the pool and the
     /// detection of crashes.
     pub(super) fn record_failure(&mut self, failure: Failure) {
-        let Some(target) = self.target.clone() else { return };
-        self.may_have_run |= self.has_begun_sending && failure.may_have_run();
+        let Some(target) = self.current.target.clone() else { return };
+        self.attempts.may_have_run |= self.current.has_begun_sending && failure.may_have_run();
         let now = clock::now();
         self.splitter.resume();
         if matches!(failure, Failure::NotRun { .. } | Failure::UnidentifiedRefusal { .. }) {
-            self.refusals += 1;
+            self.attempts.refused += 1;
         }
-        if failure == Failure::ConnectionLost && self.has_begun_sending {
-            let disconnect = self.disconnect(target.id, self.progress);
-            crash::record_disconnect(self.gateway, target.address, disconnect);
+        if failure == Failure::ConnectionLost && self.current.has_begun_sending {
+            let disconnect = self.disconnect(target.id, self.current.progress);
+            crash::record_disconnect(self.admitted.gateway, target.address, disconnect);
         }
-        self.gateway.with(|state| {
+        self.admitted.gateway.with(|state| {
             if matches!(failure, Failure::Connect | Failure::ConnectionLost) {
                 state.pool.close_idle(target.id);
             }
@@ -59,22 +59,29 @@
         let now = clock::now();
         Disconnect {
             server,
-            request: InFlight { fingerprint: self.fingerprint, suspect: self.suspect },
-            attempt_id: self.metadata.attempt_id.clone(),
-            shared_parts: self.shared_parts.clone(),
+            request: InFlight {
+                fingerprint: self.admitted.fingerprint,
+                suspect: self.admitted.suspect,
+            },
+            attempt_id: self.admitted.metadata.attempt_id.clone(),
+            shared_parts: self.admitted.shared_parts.clone(),
             writing_for: progress.writing_since.map(|since| now.since(since)),
         }
     }
 
     /// Records that the request is sent to another server after `failure`.
     pub(super) fn record_retry(&self, next: Next, failure: Failure) {
-        let kind = match (next, self.is_started) {
+        let kind = match (next, self.delivery.is_started()) {
             (Next::Suspended, _) => return,
             (Next::Target, true) => EventKind::RequestResumed,
             (Next::Target, false) => EventKind::RequestRetried,
         };
-        let server =
-            self.target.as_ref().map(|target| target.process.id.as_str()).unwrap_or_default();
+        let server = self
+            .current
+            .target
+            .as_ref()
+            .map(|target| target.process.id.as_str())
+            .unwrap_or_default();
         self.record_event(kind, &format!("{failure} at {server}"));
     }
 
@@ -82,8 +89,8 @@
     /// timeout.
     pub(super) fn set_wait(&self, target: Option<ServerKey>, wait: Wait, stall_timeout: Duration) {
         let now = clock::now();
-        self.gateway.with(|state| {
-            let Some(in_flight) = state.requests.get_mut(self.request_key) else { return };
+        self.admitted.gateway.with(|state| {
+            let Some(in_flight) = state.requests.get_mut(self.admitted.request_key) else { return };
             in_flight.set_wait(target, wait, stall_timeout, now);
         });
     }
@@ -92,11 +99,11 @@
     /// answered for [`SETTLE_TIME`] or up to the end, the parts of the prompt are cleared.
     pub(super) fn record_answering(&mut self, is_complete: bool) {
         let now = clock::now();
-        let began = *self.progress.writing_since.get_or_insert(now);
-        if !self.progress.has_settled && (is_complete || now.since(began) >= SETTLE_TIME) {
-            self.progress.has_settled = true;
-            self.gateway.with(|state| {
-                state.poison.record_answer(&self.shared_parts, began, now);
+        let began = *self.current.progress.writing_since.get_or_insert(now);
+        if !self.current.progress.has_settled && (is_complete || now.since(began) >= SETTLE_TIME) {
+            self.current.progress.has_settled = true;
+            self.admitted.gateway.with(|state| {
+                state.poison.record_answer(&self.admitted.shared_parts, began, now);
                 state.record_poison_changes();
             });
         }
@@ -105,7 +112,7 @@
     /// Records that a part of the stream from `target` has been relayed, and waits for the next
     /// event.
     pub(super) fn record_progress(&self, target: ServerKey) {
-        let stall_timeout = match self.route().kind {
+        let stall_timeout = match self.admitted.route().kind {
             Kind::ResumableStream => NEXT_EVENT_TIMEOUT,
             _ => NO_TIMEOUT,
         };
@@ -115,18 +122,19 @@
     /// Records the latencies of a request whose response is complete.
     pub(super) fn record_completion(&self, label: &'static str, status: u16) {
         let now = clock::now();
-        let whole = now.since(self.arrived);
-        let first = self.first_event.map_or(whole, |at| at.since(self.arrived));
-        self.gateway.with(|state| {
+        let whole = now.since(self.admitted.arrived);
+        let longest_gap = self.delivery.longest_gap();
+        let first = self.delivery.first_sent().map_or(whole, |at| at.since(self.admitted.arrived));
+        self.admitted.gateway.with(|state| {
             state.metrics.count("requests", label);
             state.metrics.latency("first_byte", first);
             state.metrics.latency("answer", whole);
-            state.metrics.latency("pause", self.event_gap.1);
+            state.metrics.latency("pause", longest_gap);
         });
         let text = format!(
             "{label} {status}, first byte {} ms, longest gap {} ms, total {} ms",
             first.as_millis(),
-            self.event_gap.1.as_millis(),
+            longest_gap.as_millis(),
             whole.as_millis()
         );
         self.record_event(EventKind::RequestCompleted, &text);
@@ -135,23 +143,23 @@
     /// Records an event about the request, with its route, attempts, target and age.
     pub(super) fn record_event(&self, kind: EventKind, text: &str) {
         let now = clock::now();
-        let age = now.since(self.arrived).as_millis();
-        let route = &self.route().name;
-        let (server, load) = match &self.target {
+        let age = now.since(self.admitted.arrived).as_millis();
+        let route = &self.admitted.route().name;
+        let (server, load) = match &self.current.target {
             Some(target) => (target.process.id.as_str(), target.requests),
             None => ("", 0.0),
         };
-        self.gateway.with(|state| {
+        self.admitted.gateway.with(|state| {
             let proof = state.config_proof.age(now).map_or(0, |age| age.as_millis());
             let text = format!(
                 "{text}; route {route}, config {} proven {proof} ms ago, attempt {}, \
                  target load {load:.1}, age {age} ms",
-                self.config.version, self.attempts
+                self.admitted.config.version, self.attempts.sent
             );
             let event = Body::new(kind)
-                .request(&self.metadata.attempt_id)
+                .request(&self.admitted.metadata.attempt_id)
                 .instance(server)
-                .team(self.team.as_deref().unwrap_or_default())
+                .team(self.admitted.team.as_deref().unwrap_or_default())
                 .text(text);
             state.journal.record(event);
         });
--- a/crates/mgw-gateway/src/forward/response.rs
+++ b/crates/mgw-gateway/src/forward/response.rs
@@ -5,7 +5,6 @@
 use bytes::BytesMut;
 use mgw_event::Kind as EventKind;
 use mgw_http::body::Framing;
-use mgw_http::head::Response;
 use mgw_http::write;
 use platform::header;
 use rand::Rng;
@@ -13,9 +12,11 @@
 use crate::clock;
 use crate::connection::Connection;
 use crate::exchange::{Answer, Failure, Outcome};
+use crate::forward::delivery::Unsent;
 use crate::forward::exchange::{Exchange, Stage};
 use crate::forward::{ActiveRequest, Persistence};
 use crate::reply::{self, Cause, Reply};
+use crate::verify::Verified;
 
 /// Media type of a stream of server-sent events.
 const EVENT_STREAM: &str = "text/event-stream";
@@ -29,22 +30,23 @@
         exchange: &mut Exchange,
     ) -> Result<Outcome, Failure> {
         let target = exchange.target.id;
-        let resumes = self.is_started && self.progress.writing_since.is_none();
+        let resumes = self.delivery.is_started() && self.current.progress.writing_since.is_none();
         let mut output = BytesMut::new();
         loop {
             let connection = &mut exchange.connection;
             let Stage::Stream { response, decoder, body } = &mut exchange.stage else {
                 return Err(Failure::Malformed);
             };
+            let head = response.head();
             let must_end_with_event = resumes
-                || response.framing == Framing::Close
-                || response.media_type().eq_ignore_ascii_case(EVENT_STREAM);
+                || head.framing == Framing::Close
+                || head.media_type().eq_ignore_ascii_case(EVENT_STREAM);
             decoder.decode(&mut connection.input, body).map_err(|_| Failure::Malformed)?;
             let mut events = BytesMut::new();
             self.splitter.push(body, &mut events);
-            let is_empty = events.is_empty() && self.progress.writing_since.is_none();
+            let is_empty = events.is_empty() && self.current.progress.writing_since.is_none();
             let is_broken_off = self.splitter.is_partial() && must_end_with_event
-                || is_empty && response.framing == Framing::Close;
+                || is_empty && head.framing == Framing::Close;
             let is_end = decoder.is_done() && !is_broken_off && !self.splitter.has_stray();
             if is_end {
                 events.unsplit(self.splitter.take_partial());
@@ -75,32 +77,24 @@
         }
         if let Stage::Stream { response, .. } = std::mem::replace(&mut exchange.stage, Stage::Head)
         {
-            exchange.finish(&response);
+            exchange.finish(response.head());
         }
         Ok(Outcome::Streamed)
     }
 
     /// Appends events to `output` in the framing of the caller's connection, with the head of the
     /// response before the first ones. `is_end` says that the stream ends with them.
-    pub(super) fn append_events(
+    fn append_events(
         &mut self,
         output: &mut BytesMut,
-        response: &Response,
+        response: &Verified,
         events: &[u8],
         is_end: bool,
     ) {
-        let is_chunked = self.request.is_http_11;
-        let now = clock::now();
-        if let Some(last) = self.event_gap.0 {
-            self.event_gap.1 = self.event_gap.1.max(now.since(last));
-        }
-        self.event_gap.0 = Some(now);
-        if !self.is_started {
-            self.is_started = true;
-            self.media_type = response.media_type().into();
-            self.first_event = Some(now);
-            self.write_head(output, response, None);
+        if let Some(unsent) = self.delivery.pass_on_events(response, clock::now()) {
+            self.write_head(output, &unsent, response, None);
         }
+        let is_chunked = self.admitted.request.is_http_11;
         match is_chunked {
             true => write::chunk(output, events),
             false => output.extend_from_slice(events),
@@ -117,8 +111,8 @@
         caller: &mut Connection,
         output: &[u8],
     ) -> Result<(), Failure> {
-        let wake = Rc::clone(&self.wake);
-        let deadline = self.deadline;
+        let wake = Rc::clone(&self.admitted.wake);
+        let deadline = self.admitted.deadline;
         tokio::select! {
             biased;
             written = caller.write(output) => written.map_err(|_| Failure::CallerGone),
@@ -135,104 +129,126 @@
 
     /// Appends the head of a server's response. Without a `length` the body is chunked, or for an
     /// HTTP/1.0 caller ends with the connection. If the server asks this entry for a pause, the
-    /// caller is told when the service takes its requests again.
-    pub(super) fn write_head(
+    /// caller is told when the service takes its requests again. There is one head for each
+    /// [`Unsent`].
+    fn write_head(
         &self,
         output: &mut BytesMut,
-        response: &Response,
+        _unsent: &Unsent,
+        response: &Verified,
         length: Option<usize>,
     ) {
+        let response = response.head();
         write::status_line(output, response.status);
         let is_forwarded =
             |(name, _): &(&[u8], _)| header::is_forwarded_to_caller(name, response.status);
         let fields = response.fields.iter().filter(is_forwarded);
         fields.for_each(|(name, value)| write::field(output, name, value));
         if header::parse_pause(response).is_some() {
-            let spread = self.gateway.with(|state| state.rng.random::<f64>());
+            let spread = self.admitted.gateway.with(|state| state.rng.random::<f64>());
             reply::write_retry_after(output, self.refusal_cause(), spread);
         }
         match length {
             Some(length) => write::number_field(output, "Content-Length", length as u64),
-            None if self.request.is_http_11 => {
+            None if self.admitted.request.is_http_11 => {
                 write::field(output, b"Transfer-Encoding", b"chunked");
             }
             None => {}
         }
-        if self.persistence() == Persistence::Close {
+        if self.admitted.persistence() == Persistence::Close {
             write::field(output, b"Connection", b"close");
         }
         output.extend_from_slice(b"\r\n");
     }
 
-    /// Whether the caller's connection stays open after this request.
-    pub(super) fn persistence(&self) -> Persistence {
-        match self.is_last || !self.request.is_http_11 {
-            true => Persistence::Close,
-            false => Persistence::KeepAlive,
+    /// Sends a whole response of a server to the caller, or closes its connection if it has got a
+    /// part of another one.
+    pub(super) async fn send_answer(
+        &mut self,
+        caller: &mut Connection,
+        answer: Answer,
+    ) -> Persistence {
+        match self.delivery.take_unsent(clock::now()) {
+            Some(unsent) => self.send_whole(caller, &unsent, answer).await,
+            None => self.break_off(caller, Cause::ServerFailed),
         }
     }
 
-    /// Sends a whole response of a server to the caller.
-    pub(super) async fn send_answer(
+    async fn send_whole(
         &mut self,
         caller: &mut Connection,
+        unsent: &Unsent,
         answer: Answer,
     ) -> Persistence {
-        let Answer { head, body, reservation: _reservation } = answer;
+        let Answer { head: response, body, reservation: _reservation } = answer;
         let mut output = BytesMut::with_capacity(512 + body.len());
+        let head = response.head();
         let length = match head.framing {
-            Framing::Length(length) if self.request.is_head() => Some(length as usize),
-            Framing::Chunked | Framing::Close if self.request.is_head() => None,
+            Framing::Length(length) if self.admitted.request.is_head() => Some(length as usize),
+            Framing::Chunked | Framing::Close if self.admitted.request.is_head() => None,
             _ => Some(body.len()),
         };
-        self.write_head(&mut output, &head, length);
+        self.write_head(&mut output, unsent, &response, length);
         output.extend_from_slice(&body);
-        self.is_started = true;
-        self.first_event = Some(clock::now());
         let written = self.write_to_caller(caller, &output).await;
         let label = if head.is_success() { "answered" } else { "server_error" };
         self.record_completion(label, head.status);
         match written {
-            Ok(()) => self.persistence(),
+            Ok(()) => self.admitted.persistence(),
             Err(_) => Persistence::Close,
         }
     }
 
-    /// Ends a request after its last attempt has failed: with an error response that a server gave
-    /// earlier, by closing a connection on which a stream has begun, or with a local reply. An
-    /// HTTP/1.0 caller, whose stream has no framing, sees by a reset that it is incomplete.
+    /// Ends a request after its last attempt has failed: by closing a connection on which a stream
+    /// has begun, with an error response that a server gave earlier, or with a local reply.
     pub(super) async fn fail(&mut self, caller: &mut Connection, cause: Cause) -> Persistence {
-        if let Some(answer) = self.fallback.take() {
-            return self.send_answer(caller, answer).await;
+        match self.delivery.take_unsent(clock::now()) {
+            None => self.break_off(caller, cause),
+            Some(mut unsent) => match unsent.kept.take() {
+                Some(answer) => self.send_whole(caller, &unsent, answer).await,
+                None => self.send_reply(caller, unsent, cause).await,
+            },
         }
-        if self.is_started {
-            self.record_event(EventKind::RequestBroken, cause.name());
-            self.gateway.count("requests", "cut");
-            if !self.request.is_http_11 {
-                caller.reset_on_drop();
-            }
-            return Persistence::Close;
+    }
+
+    /// Ends a stream that has begun. An HTTP/1.0 caller, whose stream has no framing, sees by a
+    /// reset that it is incomplete.
+    fn break_off(&self, caller: &Connection, cause: Cause) -> Persistence {
+        self.record_event(EventKind::RequestBroken, cause.name());
+        self.admitted.gateway.count("requests", "cut");
+        if !self.admitted.request.is_http_11 {
+            caller.reset_on_drop();
         }
-        let kind = match self.may_have_run {
+        Persistence::Close
+    }
+
+    /// Sends a local reply.
+    async fn send_reply(
+        &mut self,
+        caller: &mut Connection,
+        _unsent: Unsent,
+        cause: Cause,
+    ) -> Persistence {
+        let kind = match self.attempts.may_have_run {
             true => EventKind::RequestBroken,
             false => EventKind::RequestRefused,
         };
         self.record_event(kind, cause.name());
-        let spread = self.gateway.with(|state| {
+        let spread = self.admitted.gateway.with(|state| {
             state.metrics.count("refused", cause.name());
             state.rng.random::<f64>()
         });
         let mut output = BytesMut::new();
         let reply = Reply {
             cause,
-            attempt: &self.metadata.attempt_id,
+            attempt: &self.admitted.metadata.attempt_id,
             spread,
-            is_last: self.persistence() == Persistence::Close,
-            has_body: !self.request.is_head(),
+            is_last: self.admitted.persistence() == Persistence::Close,
+            has_body: !self.admitted.request.is_head(),
         };
         reply.write(&mut output);
         match self.write_to_caller(caller, &output).await {
-            Ok(()) => self.persistence(),
+            Ok(()) => self.admitted.persistence(),
             Err(_) => Persistence::Close,
         }
     }
--- a/crates/mgw-gateway/src/forward/target.rs
+++ b/crates/mgw-gateway/src/forward/target.rs
@@ -34,17 +34,17 @@
     /// suspect of this entry, so that a crash can be blamed on one request.
     pub(super) fn choose_target(&self) -> Result<Target, Cause> {
         let now = clock::now();
-        let gateway = self.gateway;
+        let gateway = self.admitted.gateway;
         gateway.with(|state| {
-            if state.poison.is_quarantined(&self.shared_parts) {
+            if state.poison.is_quarantined(&self.admitted.shared_parts) {
                 return Err(Cause::Quarantined);
             }
             let groups = state.groups();
-            let Some(service) = self.config.services.get(&self.service) else {
+            let Some(service) = self.admitted.config.services.get(&self.admitted.service) else {
                 return Err(Cause::NoTarget);
             };
             let has_suspect = |id: ServerKey| {
-                self.suspect
+                self.admitted.suspect
                     && state
                         .requests
                         .at_target(id)
@@ -73,25 +73,25 @@
                         is_same_zone: server.record.zone == gateway.settings.zone,
                         // The servers of a plain service are few, so each connection is used again.
                         is_connected: service.engine.is_some() && state.pool.has_idle(id, now),
-                        is_tried: self.tried.contains(&id),
+                        is_tried: self.attempts.tried.contains(&id),
                     });
                 }
             };
             let max_queued = match &service.engine {
                 Some(engine) => {
-                    let model = self.metadata.model.as_deref();
+                    let model = self.admitted.metadata.model.as_deref();
                     let wanted =
                         engine.models.iter().position(|it| Some(it.name.as_str()) == model);
                     groups
                         .iter()
-                        .filter(|it| it.is_servable && it.service == self.service)
+                        .filter(|it| it.is_servable && it.service == self.admitted.service)
                         .filter(|it| wanted.is_none_or(|wanted| wanted == it.model))
                         .for_each(|it| add(it.head, engine.slots));
                     GROUP_QUEUE_LIMIT
                 }
                 None => {
                     let ready = state.roster.iter().filter(|(_, it)| {
-                        it.record.service == self.service && it.phase() == Phase::Ready
+                        it.record.service == self.admitted.service && it.phase() == Phase::Ready
                     });
                     let mut slots = 0;
                     for (id, server) in ready {
--- a/crates/mgw-gateway/src/lib.rs
+++ b/crates/mgw-gateway/src/lib.rs
@@ -37,3 +37,4 @@
 pub mod store;
 pub mod tick;
 pub mod topics;
+pub mod verify;
