Count the incomplete events of streams in the memory for responses

Cause: an event of a stream may grow to 256 KiB before it is malformed, and nothing bounded these of all streams together. The budget covered whole bodies only.

--- a/crates/mgw-gateway/src/forward/exchange.rs
+++ b/crates/mgw-gateway/src/forward/exchange.rs
@@ -23,8 +23,8 @@
     Head,
     /// The head of a response to another request, whose body is skipped.
     Foreign { decoder: Decoder, skipped: BytesMut },
-    /// The head of a stream that is relayed.
-    Stream { response: Verified, decoder: Decoder, body: BytesMut },
+    /// The head of a stream that is relayed, with memory for its incomplete event.
+    Stream { response: Verified, decoder: Decoder, body: BytesMut, reservation: Reservation },
     /// The head of a response that is read as a whole.
     Body { response: Verified, decoder: Decoder, body: BytesMut, reservation: Reservation },
 }
--- a/crates/mgw-gateway/src/forward/receive.rs
+++ b/crates/mgw-gateway/src/forward/receive.rs
@@ -26,9 +26,9 @@
 /// Maximum size in bytes of a response body that is not a stream.
 const MAX_BODY_BYTES: usize = 16 << 20;
 
-/// Size in bytes up to which a response body needs no reservation of memory, so that responses
-/// without end at other requests do not make it fail.
-const MAX_SMALL_BODY_BYTES: usize = 64 << 10;
+/// Size in bytes up to which a response body, or the incomplete event of a stream, needs no
+/// reservation of memory, so that responses without end at other requests do not make it fail.
+pub(super) const MAX_SMALL_BODY_BYTES: usize = 64 << 10;
 
 /// Maximum responses to other requests that are skipped on one connection.
 const MAX_FOREIGN_RESPONSES: usize = 2;
@@ -121,10 +121,11 @@
     /// Begins to read the body of the response to this request.
     fn begin_body(&self, exchange: &mut Exchange, response: Verified) -> Result<(), Failure> {
         let body = BytesMut::new();
+        let reservation = self.admitted.gateway.response_bodies.reserve();
         exchange.stage = match self.is_stream(response.head()) {
             true => {
                 let decoder = Decoder::new(response.head().framing);
-                Stage::Stream { response, decoder, body }
+                Stage::Stream { response, decoder, body, reservation }
             }
             false if self.delivery.is_started() => {
                 return Err(Failure::NotResumed { status: response.head().status });
@@ -135,7 +136,6 @@
                     false => response.head().framing,
                 };
                 let decoder = Decoder::new(framing);
-                let reservation = self.admitted.gateway.response_bodies.reserve();
                 Stage::Body { response, decoder, body, reservation }
             }
         };
@@ -236,13 +236,11 @@
                 return Err(Failure::Malformed);
             };
             decoder.decode(&mut connection.input, body).map_err(|_| Failure::Malformed)?;
-            match body.len() {
-                size if size > MAX_BODY_BYTES => return Err(Failure::Malformed),
-                size if size > MAX_SMALL_BODY_BYTES => {
-                    reservation.grow_to(size).map_err(|_| Failure::Malformed)?;
-                }
-                _ => {}
+            if body.len() > MAX_BODY_BYTES {
+                return Err(Failure::Malformed);
             }
+            let held = reservation.hold(body.len(), MAX_SMALL_BODY_BYTES);
+            held.map_err(|_| Failure::Malformed)?;
             if decoder.is_done() {
                 break;
             }
--- a/crates/mgw-gateway/src/forward/response.rs
+++ b/crates/mgw-gateway/src/forward/response.rs
@@ -14,6 +14,7 @@
 use crate::exchange::{Answer, Failure, Outcome};
 use crate::forward::delivery::Unsent;
 use crate::forward::exchange::{Exchange, Stage};
+use crate::forward::receive::MAX_SMALL_BODY_BYTES;
 use crate::forward::{ActiveRequest, Persistence};
 use crate::reply::{self, Cause, Reply};
 use crate::verify::Verified;
@@ -34,7 +35,7 @@
         let mut output = BytesMut::new();
         loop {
             let connection = &mut exchange.connection;
-            let Stage::Stream { response, decoder, body } = &mut exchange.stage else {
+            let Stage::Stream { response, decoder, body, reservation } = &mut exchange.stage else {
                 return Err(Failure::Malformed);
             };
             let head = response.head();
@@ -44,6 +45,8 @@
             decoder.decode(&mut connection.input, body).map_err(|_| Failure::Malformed)?;
             let mut events = BytesMut::new();
             self.splitter.push(body, &mut events);
+            let held = reservation.hold(self.splitter.partial_size(), MAX_SMALL_BODY_BYTES);
+            held.map_err(|_| Failure::Malformed)?;
             let is_empty = events.is_empty() && self.current.progress.writing_since.is_none();
             let is_broken_off = self.splitter.is_partial() && must_end_with_event
                 || is_empty && head.framing == Framing::Close;
--- a/crates/mgw-gateway/src/memory.rs
+++ b/crates/mgw-gateway/src/memory.rs
@@ -54,6 +54,20 @@
         self.bytes += more;
         Ok(())
     }
+
+    /// Sets the reservation to the bytes that are held beyond `free`, up to which none are needed.
+    ///
+    /// # Errors
+    ///
+    /// The budget does not allow it; the reservation is unchanged.
+    pub fn hold(&mut self, bytes: usize, free: usize) -> Result<(), Exhausted> {
+        let wanted = if bytes > free { bytes } else { 0 };
+        if wanted < self.bytes {
+            self.budget.used.set(self.budget.used.get() - (self.bytes - wanted));
+            self.bytes = wanted;
+        }
+        self.grow_to(wanted)
+    }
 }
 
 impl Drop for Reservation {
--- a/crates/mgw-http/src/sse.rs
+++ b/crates/mgw-http/src/sse.rs
@@ -65,6 +65,11 @@
         self.partial.len() > MAX_EVENT_BYTES
     }
 
+    /// Returns the size in bytes of the incomplete event.
+    pub fn partial_size(&self) -> usize {
+        self.partial.len()
+    }
+
     /// Returns the `id` of the last complete event that has a numeric one, to resume the stream
     /// after it.
     pub fn last_id(&self) -> Option<u64> {
