Avoid a server that sends bytes which are no response

Cause: such a failure only raised the failure rate of the target, of which up to 0.25 is tolerated and the rest weighs little against load; nothing made new requests avoid it, as a failed connection does.

--- a/crates/mgw-gateway/src/forward/record.rs
+++ b/crates/mgw-gateway/src/forward/record.rs
@@ -20,6 +20,11 @@
 /// Time for which new requests avoid a server after a failed connection to it or a 421 response.
 const UNREACHABLE_COOLDOWN: Duration = Duration::from_millis(1_000);
 
+/// Failure rate above which a server that sends bytes which are no response is avoided, and for how
+/// long. A server that spoils a response now and then is not.
+const MALFORMED_RATE: f64 = 0.25;
+const MALFORMED_COOLDOWN: Duration = Duration::from_millis(1_000);
+
 /// Time without an event after which a resumable stream may move to another group, even if other
 /// streams of the present group make progress.
 const NEXT_EVENT_TIMEOUT: Duration = Duration::from_millis(1_500);
@@ -46,9 +51,15 @@
             let Some(load) = state.roster.load_mut(target.id) else { return };
             match failure {
                 Failure::Connect => load.avoid_until(now + UNREACHABLE_COOLDOWN),
-                Failure::ConnectionLost
-                | Failure::Malformed
-                | Failure::UnidentifiedRefusal { .. } => load.record_result(true, now),
+                Failure::Malformed => {
+                    load.record_result(true, now);
+                    if load.failure_rate(now) > MALFORMED_RATE {
+                        load.avoid_until(now + MALFORMED_COOLDOWN);
+                    }
+                }
+                Failure::ConnectionLost | Failure::UnidentifiedRefusal { .. } => {
+                    load.record_result(true, now);
+                }
                 Failure::NotRun { status: 421 } => load.avoid_until(now + UNREACHABLE_COOLDOWN),
                 _ => {}
             }
