Bound the heartbeat record of a reader, and take only usable addresses

Two findings on what entries tell each other. A heartbeat whose addresses cannot be used named an entry in the directory; now it names none.

a_record_with_many_blames_can_be_read and a_heartbeat_without_usable_addresses_names_no_entry fail without the two changes (one run each).

--- a/crates/mgw-fleet/src/entry.rs
+++ b/crates/mgw-fleet/src/entry.rs
@@ -5,6 +5,7 @@
 //! [`crate::position`].
 
 use std::cmp::Reverse;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use bincode::{Decode, Encode};
@@ -95,6 +96,15 @@
     pub blames: Vec<Blame>,
 }
 
+impl Heartbeat {
+    /// Whether callers and followers can connect to the entry.
+    fn has_usable_addresses(&self) -> bool {
+        [&self.caller_address, &self.feed_address].iter().all(|text| {
+            text.parse::<SocketAddr>().is_ok_and(|it| it.port() != 0 && !it.ip().is_unspecified())
+        })
+    }
+}
+
 /// Names the entry that becomes planner with this record. The planner's term is made from the
 /// record's position.
 #[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
@@ -132,6 +142,25 @@
     Leader(Leader),
 }
 
+/// Maximum number of blames in a record. It bounds the record with the heartbeats of 100 followers
+/// to [`MAX_RECORD_BYTES`], whatever they observe.
+const MAX_RECORD_BLAMES: usize = 1_024;
+
+impl Record {
+    /// The record of an entry with its heartbeat and those of its followers. If they have more
+    /// blames than fit, each keeps as many, the last ones.
+    pub fn heartbeat(wall_ms: u64, mut own: Heartbeat, mut followers: Vec<Member>) -> Self {
+        let limit = MAX_RECORD_BLAMES / (followers.len() + 1);
+        let members = followers.iter_mut().map(|it| &mut it.heartbeat);
+        let blames = members.chain([&mut own]).map(|it| &mut it.blames);
+        blames.for_each(|it| {
+            let excess = it.len().saturating_sub(limit);
+            it.drain(..excess);
+        });
+        Record::Heartbeat { wall_ms, own, followers }
+    }
+}
+
 /// Key of the record that names the planner.
 pub const LEADER_KEY: &str = "lead";
 
@@ -149,9 +178,16 @@
     codec::encode(FORMAT_VERSION, record)
 }
 
-/// Decodes a record. Returns `None` if the bytes are malformed, too long or of another version.
+/// Decodes a record. Returns `None` if the bytes are malformed, too long or of another version, or if
+/// the writer's heartbeat has an address that cannot be used. Followers with such an address are left
+/// out.
 pub fn decode(bytes: &[u8]) -> Option<Record> {
-    codec::decode::<_, MAX_RECORD_BYTES>(FORMAT_VERSION, bytes)
+    let mut record = codec::decode::<_, MAX_RECORD_BYTES>(FORMAT_VERSION, bytes)?;
+    if let Record::Heartbeat { own, followers, .. } = &mut record {
+        followers.retain(|member| member.heartbeat.has_usable_addresses());
+        return own.has_usable_addresses().then_some(record);
+    }
+    Some(record)
 }
 
 /// An entry as seen by another entry.
--- a/crates/mgw-fleet/tests/entry.rs
+++ b/crates/mgw-fleet/tests/entry.rs
@@ -6,7 +6,7 @@
 
 use common::at;
 use mgw_fleet::entry::{
-    Heartbeat, LEADER_KEY, Leader, Member, Phase, Record, Role, Table, decode, encode,
+    Blame, Heartbeat, LEADER_KEY, Leader, Member, Phase, Record, Role, Table, decode, encode,
     heartbeat_key,
 };
 use mgw_fleet::freshness::{Proof, Shown};
@@ -147,6 +147,43 @@
     );
 }
 
+/// Guards against an entry in the directory whose address no caller can use.
+#[test]
+fn a_heartbeat_without_usable_addresses_names_no_entry() {
+    for odd in ["", "10.0.0.1", "10.0.0.1:0", "10.0.0.1:65536", "0.0.0.0:80", "nowhere:80"] {
+        let sound = heartbeat_of(1, Phase::Serving);
+        let caller = Heartbeat { caller_address: odd.into(), ..sound.clone() };
+        let feed = Heartbeat { feed_address: odd.into(), ..sound.clone() };
+        for heartbeat in [caller, feed] {
+            let own = Record::heartbeat(1, heartbeat.clone(), Vec::new());
+            assert_eq!(decode(&encode(&own).expect("encode")), None, "{odd:?}");
+            let member = |name: &str, heartbeat| Member { name: name.into(), heartbeat };
+            let followers = vec![member("odd", heartbeat), member("sound", sound.clone())];
+            let listing = Record::heartbeat(1, sound.clone(), followers);
+            let decoded = decode(&encode(&listing).expect("encode"));
+            let left = Record::heartbeat(1, sound.clone(), vec![member("sound", sound.clone())]);
+            assert_eq!(decoded, Some(left), "{odd:?}");
+        }
+    }
+}
+
+/// Guards against the record of a reader that nobody can read, as its followers blame more crashes
+/// than fit, so that all of them drop out of the directory.
+#[test]
+fn a_record_with_many_blames_can_be_read() {
+    let blame = Blame { fingerprint: u128::MAX, observer: u64::MAX, counter: u64::MAX };
+    let member = |number: usize| Member {
+        name: format!("edge-zone-with-a-name-{number}"),
+        heartbeat: Heartbeat { blames: vec![blame; 64], ..heartbeat_of(7, Phase::Serving) },
+    };
+    for count in [0, 1, 50, 100] {
+        let followers: Vec<Member> = (0..count).map(member).collect();
+        let record = Record::heartbeat(1, member(count).heartbeat, followers);
+        let bytes = encode(&record).expect("encode");
+        assert_eq!(decode(&bytes), Some(record), "{count} followers, {} bytes", bytes.len());
+    }
+}
+
 /// Guards against a planner that is alive but cannot read the store: it resigns, and another entry
 /// takes over.
 #[test]
--- a/crates/mgw-gateway/src/control.rs
+++ b/crates/mgw-gateway/src/control.rs
@@ -105,11 +105,8 @@
         };
         state.followers.iter().map(member).collect()
     });
-    let value = match entry::encode(&entry::Record::Heartbeat {
-        wall_ms: clock::unix_ms(),
-        own,
-        followers,
-    }) {
+    let record = entry::Record::heartbeat(clock::unix_ms(), own, followers);
+    let value = match entry::encode(&record) {
         Ok(value) => value,
         Err(error) => {
             gateway.record(Body::new(Kind::StoreLost).text(format!("encode heartbeat: {error}")));
