--- a/crates/mgw-event/src/kind.rs
+++ b/crates/mgw-event/src/kind.rs
@@ -195,8 +195,8 @@
     TargetReadmitted = 704 "target_readmitted" Info [Group Instance] "A probe of an ejected group or server succeeded.";
     EjectionSuspended = 705 "ejection_suspended" Warn [Group Instance] "A group or server was not ejected because a third of the comparable ones are ejected already.";
     TeamOverCapacity = 706 "team_over_capacity" Info [Team Text] "A team reached its share of request rate, tokens or concurrency.";
-    PartQuarantined = 707 "part_quarantined" Warn [Text] "Requests whose prompt has the part with the id in the text are refused, as they crash servers.";
-    PartReleased = 708 "part_released" Info [Text] "The part of the prompt with the id in the text is no longer quarantined.";
+    PartQuarantined = 707 "part_quarantined" Warn [Text] "Requests whose prompt has all parts with the ids in the text are refused but for trials, as they crash servers.";
+    PartReleased = 708 "part_released" Info [Text] "The parts with the ids in the text are no longer quarantined together.";
 
     MalformedFrame = 801 "malformed_frame" Warn [Entry Text] "A frame of a peer could not be decoded.";
     OversizedRequest = 802 "oversized_request" Info [Request Team Text] "A request exceeds the size limit.";
