Keep the limit of a server that is removed from the list and listed again

What callers saw: nothing; the server got more requests than its `Server-Limit` allows (rule LIMIT).

Cause: `Roster` keeps the notice of a plain server that is cut off from the store and drops out of the list, but not its load, which holds the limit and the requests that count against it. Listed again, the same process was taken for one that never stated a limit, until its next response.

What a process has stated is now one record, of which the limit is a part. Instances with an engine kept theirs before, as their whole state is kept.

The new test fails on the code of before: no limit is known after the server is listed again.

--- a/crates/mgw-fleet/src/balance.rs
+++ b/crates/mgw-fleet/src/balance.rs
@@ -66,6 +66,11 @@
 }
 
 impl Load {
+    /// The load of a target of which only the limit on its rate is known.
+    pub fn with_rate(rate: rate::Bucket) -> Self {
+        Self { rate, ..Self::default() }
+    }
+
     /// Records the load that a response states: all requests at the target, running and queued.
     pub fn record_report(&mut self, requests: u32, now: Instant) {
         let peer_requests = f64::from(requests.saturating_sub(self.in_flight));
--- a/crates/mgw-fleet/src/roster.rs
+++ b/crates/mgw-fleet/src/roster.rs
@@ -20,6 +20,7 @@
 use crate::balance::Load;
 use crate::notice::{Notice, Process};
 use crate::position;
+use crate::rate::Bucket;
 
 pub use outdated::Outdated;
 pub use record::{Engine, Membership, Phase, Record, Stage};
@@ -107,9 +108,9 @@
 /// hundred milliseconds.
 const MAX_REPORT_LAG: Duration = Duration::from_secs(1);
 
-/// Time for which the notice of a process that is not listed is kept. Servers end some seconds after
-/// their removal from the list.
-const NOTICE_RETENTION: Duration = Duration::from_secs(600);
+/// Time for which the statements of a process that is not listed are kept. Servers end some seconds
+/// after their removal from the list.
+const STATEMENTS_RETENTION: Duration = Duration::from_secs(600);
 
 /// Maximum number of removals that are kept for the entries that receive changes from this one.
 const MAX_REMOVALS: usize = 512;
@@ -157,14 +158,23 @@
     removals: Vec<Removal>,
     /// Revision up to which removals are no longer kept.
     compacted_revision: u64,
-    /// Notices of processes that are not listed, with the times at which they were last listed or
-    /// stated something.
-    unlisted_notices: Map<Process, (Notice, Instant)>,
+    /// What processes that are not listed have stated.
+    unlisted_statements: Map<Process, Statements>,
     /// Instances that were removed from the list and may go on as members of their groups, by id.
     /// None of them is in `servers`.
     unlisted: Map<SmolStr, Server>,
 }
 
+/// What a process has stated that is not listed.
+#[derive(Clone, Debug, Default)]
+struct Statements {
+    notice: Notice,
+    /// Its limit on the rate of requests.
+    rate: Bucket,
+    /// When it was last listed or stated something.
+    at: Instant,
+}
+
 /// Changes since a revision.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Changes {
@@ -237,10 +247,12 @@
         }
     }
 
-    /// Keeps the notice of a removed server in case that its process is listed again.
-    fn keep_notice(&mut self, server: &Server, now: Instant) {
-        if server.notice != Notice::default() {
-            self.unlisted_notices.insert(server.process(), (server.notice, now));
+    /// Keeps what a removed server has stated in case that its process is listed again.
+    fn keep_statements(&mut self, server: &Server, now: Instant) {
+        let Server { notice, load, .. } = server;
+        if *notice != Notice::default() || load.rate.rate().is_some() {
+            let statements = Statements { notice: *notice, rate: load.rate.clone(), at: now };
+            self.unlisted_statements.insert(server.process(), statements);
         }
     }
 
@@ -270,11 +282,10 @@
         match known.filter(|it| it.record.started_ms == process.started_ms) {
             Some(server) => &mut server.notice,
             None => {
-                let unlisted = &mut self.unlisted_notices;
-                let kept =
-                    unlisted.get_or_insert_with(process.clone(), || (Notice::default(), now));
-                kept.1 = now;
-                &mut kept.0
+                let unlisted = &mut self.unlisted_statements;
+                let kept = unlisted.get_or_insert_with(process.clone(), Statements::default);
+                kept.at = now;
+                &mut kept.notice
             }
         }
     }
@@ -387,10 +398,10 @@
                     engine.fill_last_model(None);
                 }
                 if let Some(ended) = self.servers.remove(id) {
-                    self.keep_notice(&ended, now);
+                    self.keep_statements(&ended, now);
                 }
                 let process = Process { id: id.into(), started_ms: record.started_ms };
-                let notice = self.unlisted_notices.remove(&process).map(|(notice, _)| notice);
+                let kept = self.unlisted_statements.remove(&process).unwrap_or_default();
                 self.revision += 1;
                 let server = Server {
                     id: id.into(),
@@ -403,9 +414,9 @@
                     changed_at: now,
                     missing_since: None,
                     unlisted_since: None,
-                    notice: notice.unwrap_or_default(),
+                    notice: kept.notice,
                     heartbeat_count: None,
-                    load: Load::default(),
+                    load: Load::with_rate(kept.rate),
                 };
                 self.servers.insert(id.into(), server);
                 is_restart
@@ -545,7 +556,7 @@
     /// Removes servers that were not listed again in time after an outage, and notices that are no
     /// longer needed.
     pub fn tick(&mut self, now: Instant) {
-        self.unlisted_notices.retain(|_, (_, at)| now.since(*at) < NOTICE_RETENTION);
+        self.unlisted_statements.retain(|_, kept| now.since(kept.at) < STATEMENTS_RETENTION);
         self.forget_unlisted(now);
         if self.has_recent_outage(now) {
             return;
--- a/crates/mgw-fleet/src/roster/unlisted.rs
+++ b/crates/mgw-fleet/src/roster/unlisted.rs
@@ -42,7 +42,7 @@
     /// groups and are forgotten.
     pub(super) fn keep_unlisted(&mut self, server: Server, now: Instant) {
         if server.record.engine.is_none() || self.unlisted.len() >= MAX_UNLISTED {
-            return self.keep_notice(&server, now);
+            return self.keep_statements(&server, now);
         }
         let unlisted = Server { missing_since: None, unlisted_since: Some(now), ..server };
         self.unlisted.insert(unlisted.id.clone(), unlisted);
@@ -53,7 +53,7 @@
     pub(super) fn relist(&mut self, id: &str, started_ms: u64, now: Instant) {
         let Some(server) = self.unlisted.remove(&id.into()) else { return };
         if server.record.started_ms != started_ms {
-            return self.keep_notice(&server, now);
+            return self.keep_statements(&server, now);
         }
         self.revision += 1;
         let listed = Server { unlisted_since: None, changed_revision: self.revision, ..server };
@@ -69,7 +69,7 @@
             self.unlisted.iter().map(|(_, it)| it).filter(|it| is_due(it)).cloned().collect();
         for server in due {
             self.unlisted.remove(&server.id);
-            self.keep_notice(&server, now);
+            self.keep_statements(&server, now);
         }
     }
 }
--- a/crates/mgw-fleet/tests/notice.rs
+++ b/crates/mgw-fleet/tests/notice.rs
@@ -7,6 +7,7 @@
 use common::{Cluster, LARGE, SMALL, at, record};
 use mgw_fleet::notice::{Notice, Process};
 use mgw_fleet::plan::Planner;
+use mgw_fleet::rate::Statement;
 use mgw_fleet::roster::{Phase, Record, Roster};
 
 /// The run of the server `a` that [`record`] is of.
@@ -49,6 +50,30 @@
     assert_eq!(phase(&roster), Some(Phase::Draining));
 }
 
+/// Guards against a server that gets more requests than it allows (rule LIMIT) after it was cut off
+/// from the store, removed from the list and listed again.
+#[test]
+fn the_limit_of_a_server_outlasts_its_removal_from_the_list() {
+    let mut roster = Roster::default();
+    let plain = |started_ms| Record { engine: None, ..restarted(started_ms) };
+    let key = |roster: &Roster| roster.iter().map(|(key, _)| key).next().expect("it is listed");
+    roster.upsert("a", plain(1), at(0));
+    let limit = Statement { rate: Some(0.5), at: at(100) };
+    let listed = key(&roster);
+    let load = roster.load_mut(listed).expect("it is listed");
+    assert!(load.rate.apply(limit, at(100)));
+    load.rate.record_sent(1.0, at(3_000));
+    roster.remove("a", at(4_000));
+    roster.upsert("a", plain(1), at(4_300));
+    let rate = |roster: &Roster| roster.by_id("a").map(|it| it.load.rate.clone());
+    let kept = rate(&roster).expect("it is listed");
+    assert_eq!(kept.rate(), Some(0.5));
+    assert!(!kept.admits(1.0, at(4_400)), "it has got its request of these 2 s");
+    // A new process has not stated a limit.
+    roster.upsert("a", plain(2), at(5_000));
+    assert_eq!(rate(&roster).expect("it is listed").rate(), None);
+}
+
 /// Guards against a new process that gets no requests because of what the former one stated, also
 /// if the response of the former one arrives late.
 #[test]
