--- a/crates/mgw-route/src/quarantine.rs
+++ b/crates/mgw-route/src/quarantine.rs
@@ -77,7 +77,7 @@
 
 /// Bit of [`Blame::counter`] which states that the observer had answered requests of the fingerprint
 /// lately, so that the crash is weak evidence.
-const ANSWERED_BIT: u64 = 1 << 60;
+pub const ANSWERED_BIT: u64 = 1 << 60;
 
 /// A server crash blamed on a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
