Take over from other entries that a fingerprint was answered

An entry states with its blame whether it has answered requests of the fingerprint lately. The receiver now counts the fingerprint as sound for a minute after that. It does not pass that on as its own answer: else entries would keep a request sound by telling each other what nobody answers any more.

--- a/crates/mgw-route/src/quarantine.rs
+++ b/crates/mgw-route/src/quarantine.rs
@@ -241,8 +241,10 @@
     /// Whether a request was at several crashes and never answered.
     fn is_repeated(&self, fingerprint: u128, now: Instant) -> bool {
         let record = self.records.get(&fingerprint);
-        record.is_some_and(|it| it.standing_blames() >= self.options.repeated_crashes)
-            && !self.was_answered(fingerprint, now)
+        record.is_some_and(|it| {
+            it.standing_blames() >= self.options.repeated_crashes
+                && !self.is_known_sound(fingerprint, it, now)
+        })
     }
 
     /// When a quarantined request is tried next.
@@ -294,6 +296,15 @@
         })
     }
 
+    /// Whether a request with this fingerprint was answered lately, here or by an entry that blames a
+    /// crash on it all the same.
+    fn is_known_sound(&self, fingerprint: u128, record: &Record, now: Instant) -> bool {
+        let states_answer = |it: &Evidence| {
+            it.counter & ANSWERED_BIT != 0 && now.since(it.at) < self.options.answer_memory
+        };
+        self.was_answered(fingerprint, now) || record.blames.iter().any(states_answer)
+    }
+
     /// Blames a server crash on the requests that this entry had in flight there. Returns the
     /// blames to be sent to the peers.
     ///
@@ -314,9 +325,13 @@
         let blames: Vec<Blame> = match suspects.as_slice() {
             [fingerprint] => {
                 // If others of this fingerprint were answered, it does not count as a suspect.
+                let record = self.records.get(fingerprint);
+                let is_sound = record.is_some_and(|it| self.is_known_sound(*fingerprint, it, now));
+                // Only what this entry has answered itself is told, or entries would go on telling
+                // each other what nobody has answered any more.
                 let kind_bit = match self.was_answered(*fingerprint, now) {
                     true => ANSWERED_BIT,
-                    false => 1,
+                    false => u64::from(!is_sound),
                 };
                 vec![Blame {
                     fingerprint: *fingerprint,
@@ -445,7 +460,7 @@
         let blamed = standing.iter().map(|evidence| evidence.at);
         let last_crash = blamed.chain(record.groups.iter().map(|(_, at)| *at)).max();
         let conclusive = not_coincident.max(repeated).max(from_log);
-        match conclusive.filter(|_| !self.was_answered(fingerprint, now)) {
+        match conclusive.filter(|_| !self.is_known_sound(fingerprint, record, now)) {
             Some(at) => Status::Quarantined { until: at + quarantine },
             None if last_crash.is_some_and(|at| now.since(at) < suspect) => Status::Suspect,
             None => Status::Clear,
--- a/crates/mgw-route/tests/quarantine.rs
+++ b/crates/mgw-route/tests/quarantine.rs
@@ -281,3 +281,27 @@
     assert_eq!(one.admit(CULPRIT, at(4_500), seat(8)), Verdict::Clear);
     assert!(!is_refused(other.admit(CULPRIT, at(4_500), seat(8))), "an answer ends it everywhere");
 }
+
+/// Guards against lookups that an entry refuses after ordinary crashes because it has not answered one
+/// itself yet, although others have; and against entries that keep a request sound by telling each
+/// other what nobody has answered any more.
+#[test]
+fn an_entry_takes_over_that_others_have_answered_a_fingerprint() {
+    let (mut one, mut other) =
+        (Table::new(Options::default(), 1), Table::new(Options::default(), 2));
+    one.record_answer(SHARED, at(0), at(50));
+    let told = one.observe_crash(&[unsuspected(SHARED)], at(100));
+    told.iter().for_each(|it| other.merge(*it, at(200), at(200)));
+    // The other entry sends it as a suspect to servers that crash as well.
+    for ms in [300, 400, 500] {
+        let blames = other.observe_crash(&[suspect(SHARED)], at(ms));
+        assert!(blames.iter().all(|it| !it.ran_as_suspect()), "{blames:?}");
+    }
+    let seat = |_| Seat { rank: 8, entries: 9 };
+    assert_eq!(other.admit(SHARED, at(600), seat), Verdict::Suspect);
+    assert_eq!(one.admit(SHARED, at(600), seat), Verdict::Suspect);
+    // A minute later nobody has answered one since.
+    let blames = other.observe_crash(&[suspect(SHARED)], at(60_300));
+    assert!(blames.iter().all(Blame::ran_as_suspect), "{blames:?}");
+    assert!(is_quarantined(&other, SHARED, 60_400));
+}
