Split the detection of deadly parts into modules

What is known of one part and what follows from the evidence are modules of their own now. Moved only: the tests of the crate pass unchanged.

--- a/crates/mgw-route/src/poison.rs
+++ b/crates/mgw-route/src/poison.rs
@@ -9,6 +9,9 @@
 //! requests with all of them are refused, and one with some of them shows by its outcome which it
 //! is. What is refused is tried again; see [`crate::trial`].
 
+mod record;
+mod suspicion;
+
 use std::cmp::Reverse;
 use std::fmt;
 use std::time::Duration;
@@ -17,7 +20,9 @@
 use mgw_base::sorted::Map;
 use mgw_base::time::Instant;
 
-use crate::trial::{self, AtRisk, Certainty, Seat};
+use crate::trial::{self, AtRisk, Seat};
+use record::{Crash, MAX_EVIDENCE, Record};
+use suspicion::{Suspicion, sorted_distinct};
 
 /// Time for which a server must have been answering a request to show that none of the request's
 /// parts crashes it.
@@ -65,9 +70,6 @@
     }
 }
 
-/// Maximum number of crashes that are stored per part.
-const MAX_EVIDENCE: usize = 16;
-
 /// Maximum number of requests at one crashed server that are stored per part, so that a part of
 /// many requests has evidence of as many servers as any other.
 const MAX_EVIDENCE_PER_SERVER: usize = 2;
@@ -148,106 +150,6 @@
     },
 }
 
-/// Parts that were at the same crashes. One of them, or all of them together, cause these.
-#[derive(Clone, Debug)]
-struct Suspicion {
-    /// Sorted; never empty.
-    parts: Vec<Part>,
-    since: Instant,
-}
-
-impl Suspicion {
-    /// Hash by which entries rank themselves for trials.
-    fn matter(&self) -> u64 {
-        let ids: Vec<u8> = self.parts.iter().flat_map(|part| part.0.to_le_bytes()).collect();
-        hash::parts(&[&ids]) as u64
-    }
-
-    fn certainty(&self) -> Certainty {
-        match self.parts.len() {
-            1 => Certainty::Settled,
-            _ => Certainty::Open,
-        }
-    }
-
-    /// Whether a request with `parts` has all of these.
-    fn covers(&self, parts: &[Part]) -> bool {
-        self.parts.iter().all(|part| parts.contains(part))
-    }
-
-    /// Whether a request with `parts` has any of these.
-    fn touches(&self, parts: &[Part]) -> bool {
-        self.parts.iter().any(|part| parts.contains(part))
-    }
-}
-
-/// A part with the servers whose crashes nothing else explains.
-struct Candidate {
-    part: Part,
-    /// The crashes with the request, the server and the time.
-    crashes: Vec<Crash>,
-    was_served: bool,
-    is_told: bool,
-    /// Whether some of its crashes are explained by another part, and all together would be
-    /// conclusive.
-    is_suspected: bool,
-}
-
-impl Candidate {
-    /// The crashed servers, sorted.
-    fn servers(&self) -> Vec<u64> {
-        sorted_distinct(self.crashes.iter().map(|crash| crash.evidence.server))
-    }
-
-    fn is_conclusive(&self, options: &Options) -> bool {
-        let servers = self.servers().len();
-        if self.is_told && servers > 0 {
-            return true;
-        }
-        if self.is_suspected && !self.was_served && servers >= options.min_servers_if_suspected {
-            return true;
-        }
-        let requests = sorted_distinct(self.crashes.iter().map(|it| it.evidence.request)).len();
-        let min_requests =
-            if self.was_served { options.min_requests_if_served } else { options.min_requests };
-        let first = self.crashes.iter().map(|it| it.at).min();
-        let last = self.crashes.iter().map(|it| it.at).max();
-        let span = first.zip(last).map_or(Duration::ZERO, |(first, last)| last.since(first));
-        servers >= options.min_servers && requests >= min_requests && span >= options.min_span
-    }
-}
-
-#[derive(Clone, Copy, Debug)]
-struct Crash {
-    evidence: Evidence,
-    /// When it became known to this entry.
-    at: Instant,
-    is_own: bool,
-    /// Whether a request with the part was answered later. A cleared crash is kept so that a late
-    /// copy of it is recognized.
-    is_cleared: bool,
-}
-
-#[derive(Clone, Debug, Default)]
-struct Record {
-    /// At most [`MAX_EVIDENCE`], each with a different pair of request and server.
-    crashes: Vec<Crash>,
-    /// Whether a peer has told that the part is quarantined.
-    is_told: bool,
-    /// Until when the newest answer is told to the peers.
-    announced_until: Option<Instant>,
-}
-
-impl Record {
-    fn uncleared(&self) -> impl Iterator<Item = &Crash> {
-        self.crashes.iter().filter(|crash| !crash.is_cleared)
-    }
-
-    fn last_crash(&self) -> Instant {
-        self.crashes.iter().map(|crash| crash.at).max().unwrap_or_default()
-    }
-}
-
 /// What one entry knows of crashes and answers, by part.
 #[derive(Clone, Debug)]
 pub struct Table {
@@ -460,64 +362,6 @@
         self.changes.extend(begun.map(|it| change(it, true)));
     }
 
-    /// The parts with conclusive evidence. The crashes that one explains are no evidence against
-    /// others; the first one is that which was never answered lately and was at most servers. Parts
-    /// at the same servers cannot be told apart.
-    fn find_suspicions(&self, now: Instant) -> Vec<Suspicion> {
-        let mut candidates: Vec<Candidate> = self
-            .records
-            .iter()
-            .map(|(part, record)| Candidate {
-                part: *part,
-                crashes: self.counted(record, now),
-                was_served: self.served.get(part).is_some(),
-                is_told: record.is_told,
-                is_suspected: false,
-            })
-            .filter(|it| it.is_conclusive(&self.options))
-            .collect();
-        let mut found = Vec::new();
-        loop {
-            let conclusive = candidates.iter().filter(|it| it.is_conclusive(&self.options));
-            let rank = |it: &&Candidate| (!it.was_served, it.servers().len());
-            let Some(first) = conclusive.clone().max_by_key(rank) else { return found };
-            let servers = first.servers();
-            let tied = conclusive
-                .filter(|it| it.was_served == first.was_served && it.servers() == servers)
-                .map(|it| it.part)
-                .collect();
-            found.push(Suspicion { parts: tied, since: now });
-            for candidate in &mut candidates {
-                let is_left = |it: &Crash| servers.binary_search(&it.evidence.server).is_err();
-                candidate.crashes.retain(is_left);
-                candidate.is_suspected = true;
-            }
-        }
-    }
-
-    /// The parts that were at as many crashes as convict one and were not answered lately, but whose
-    /// crashes another part explains, or came together.
-    fn find_unproven(&self, now: Instant) -> Vec<Part> {
-        let is_unproven = |part: &Part, record: &Record| {
-            let crashes = self.counted(record, now);
-            let distinct = |key: fn(&Evidence) -> u64| {
-                sorted_distinct(crashes.iter().map(|crash| key(&crash.evidence))).len()
-            };
-            distinct(|it| it.server) >= self.options.min_servers
-                && distinct(|it| it.request) >= self.options.min_requests
-                && self.served.get(part).is_none()
-                && !self.is_suspected(part)
-        };
-        let unproven = self.records.iter().filter(|(part, record)| is_unproven(part, record));
-        unproven.map(|(part, _)| *part).collect()
-    }
-
-    /// The crashes of a part that count at `now`.
-    fn counted(&self, record: &Record, now: Instant) -> Vec<Crash> {
-        let is_recent = |it: &&Crash| now.since(it.at) < self.options.quarantine_duration;
-        record.uncleared().filter(is_recent).copied().collect()
-    }
-
     /// Evidence that all entries, also later ones, have to know: that of quarantined parts, with
     /// `true`, and then the newest that this entry observed and that is not cleared; at most
     /// `limit`.
@@ -591,20 +435,3 @@
         self.suspicions.iter().map(|it| it.parts.len()).sum()
     }
 }
-
-impl Record {
-    /// Whether this crash is known and not cleared.
-    fn holds(&self, evidence: &Evidence) -> bool {
-        self.uncleared().any(|crash| crash.evidence == *evidence)
-    }
-}
-
-fn sorted_distinct<I>(values: I) -> Vec<u64>
-where
-    I: Iterator<Item = u64>,
-{
-    let mut values: Vec<u64> = values.collect();
-    values.sort_unstable();
-    values.dedup();
-    values
-}
