Review case 9: bookings go to a server that was removed after a cut had healed

Claim: after a cut from the store, an entry doubts removals for 2.2 s from its first read, which is longer than contactMs from the healing on.

--- a/review/standin-2/cases.rs
+++ b/review/standin-2/cases.rs
@@ -1,6 +1,7 @@
 //! The cases.
 
 mod pausing_reader;
+mod removed_server;
 mod revoked_anonymous;
 mod revoked_added;
 
@@ -10,6 +11,7 @@
 pub fn run(name: &str, record: &Record) -> Verdict {
     match name {
         "pausing_reader" => pausing_reader::run(record),
+        "removed_server" => removed_server::run(record),
         "revoked_anonymous" => revoked_anonymous::run(record),
         "revoked_added" => revoked_added::run(record),
         _ => Verdict::CannotRun,
--- a/review/standin-2/server.rs
+++ b/review/standin-2/server.rs
@@ -1,7 +1,7 @@
 //! A server of a plain service, as PROTOCOL.md describes it.
 
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -31,6 +31,8 @@
     /// All that it has run.
     pub runs: Mutex<Vec<Run>>,
     seals: AtomicU64,
+    /// Whether its entry was removed.
+    is_removed: AtomicBool,
     record: Record,
 }
 
@@ -52,6 +54,7 @@
             body,
             runs: Mutex::default(),
             seals: AtomicU64::new(0),
+            is_removed: AtomicBool::new(false),
             record: record.clone(),
         });
         let (beating, its_store) = (Arc::clone(&server), Arc::clone(store));
@@ -76,7 +79,7 @@
 
     /// Writes its entry. While the store is away, the entry is lost.
     fn beat(&self, store: &Store, born: u64, sequence: u64) {
-        if store.is_down.load(Ordering::SeqCst) {
+        if store.is_down.load(Ordering::SeqCst) || self.is_removed.load(Ordering::SeqCst) {
             return;
         }
         let Self { id, address, service, zone, .. } = self;
@@ -87,6 +90,12 @@
         store.append("keyed.servers", id, entry.as_bytes());
     }
 
+    /// Leaves without reporting `draining`: its entry is removed, and it goes on serving for a while.
+    pub fn leave(&self, store: &Store) {
+        self.is_removed.store(true, Ordering::SeqCst);
+        store.append("keyed.servers", &self.id, b"");
+    }
+
     fn serve(&self, stream: TcpStream) {
         let mut connection = Connection::new(stream);
         while let Ok(request) = connection.read_message() {
--- a/review/standin-2/store.rs
+++ b/review/standin-2/store.rs
@@ -39,6 +39,8 @@
     pub address: SocketAddr,
     /// Whether the store turns this gateway away with 503.
     pub is_refused: AtomicBool,
+    /// Whether the way between the store and this gateway is cut: what is sent is lost.
+    pub is_cut: AtomicBool,
 }
 
 impl Store {
@@ -55,7 +57,11 @@
     pub fn open(self: &Arc<Self>) -> Arc<Door> {
         let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("bind the store");
         let address = listener.local_addr().expect("the address of the store");
-        let door = Arc::new(Door { address, is_refused: AtomicBool::new(false) });
+        let door = Arc::new(Door {
+            address,
+            is_refused: AtomicBool::new(false),
+            is_cut: AtomicBool::new(false),
+        });
         let (store, its_door) = (Arc::clone(self), Arc::clone(&door));
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
@@ -99,10 +105,17 @@
 
     fn serve(&self, mut connection: Connection, door: &Door) {
         while let Ok(call) = connection.read_message() {
+            let was_cut = door.is_cut.load(Ordering::SeqCst);
             let answer = match self.is_away(door) {
+                _ if was_cut => (0, Vec::new()),
                 true => (503, Vec::new()),
                 false => self.answer(&call, door),
             };
+            if was_cut || door.is_cut.load(Ordering::SeqCst) {
+                // A connection that has lost something returns nothing further.
+                while connection.read_message().is_ok() {}
+                return;
+            }
             let era = self.contents.lock().expect("the store").era.to_string();
             let fields = [("Store-Era", era.as_str())];
             if connection.write(&response(answer.0, &fields, &answer.1)).is_err() {
