--- a/review/standin-2/cases/revoked_added.rs
+++ b/review/standin-2/cases/revoked_added.rs
@@ -16,11 +16,11 @@
 const REVOKE: Duration = Duration::from_millis(5_000);
 
 /// Time from the acknowledgement to the moment at which the store goes away, and for which it does.
-const DRILL_AFTER: Duration = Duration::from_millis(4_000);
+const DRILL_AFTER: Duration = Duration::from_millis(4_300);
 const AWAY_FOR: Duration = Duration::from_millis(500);
 
 /// Time from the return of the store until the operator has written its newest version again.
-const WRITTEN_AGAIN: Duration = Duration::from_millis(2_000);
+const WRITTEN_AGAIN: Duration = Duration::from_millis(1_000);
 
 pub fn run(record: &Record) -> Verdict {
     let store = Store::new();
@@ -91,13 +91,13 @@
     let mut added = Gateway::start_ready(machine(2), record);
     let mut has_written = false;
     let mut number = 0;
-    while acknowledged.elapsed() < REVOKE + Duration::from_millis(3_500) {
+    while acknowledged.elapsed() < REVOKE + Duration::from_millis(2_500) {
         if has_trouble() && !has_written && back.elapsed() >= WRITTEN_AGAIN {
             store.append("keyed.op", "config", second.as_bytes());
             record.note("the operator has written version 2 again");
             has_written = true;
         }
-        if acknowledged.elapsed() > REVOKE + Duration::from_millis(100) {
+        if acknowledged.elapsed() > REVOKE + Duration::from_millis(50) {
             send(&added.machine, &format!("late-{number}"));
             send(&gateways[0].machine, &format!("other-{number}"));
             number += 1;
