--- a/review/standin-2/cases.rs
+++ b/review/standin-2/cases.rs
@@ -2,8 +2,8 @@
 
 mod pausing_reader;
 mod removed_server;
-mod revoked_anonymous;
 mod revoked_added;
+mod revoked_anonymous;
 
 use crate::Verdict;
 use crate::record::Record;
--- a/review/standin-2/cases/revoked_added.rs
+++ b/review/standin-2/cases/revoked_added.rs
@@ -29,8 +29,7 @@
     let second = super::config(2, &format!("[{other}]"));
     let first = super::config(1, &format!("[{one},{other}]"));
     store.append("keyed.op", "config", first.as_bytes());
-    let server =
-        Server::start(&store, "i-1", ("booking", "zilina-a"), vec![b'x'; 800], record);
+    let server = Server::start(&store, "i-1", ("booking", "zilina-a"), vec![b'x'; 800], record);
     let ips = [13, 14, 15].map(|last| Ipv4Addr::new(127, 0, 0, last));
     let ports = Ports::find(&ips);
     let zones = ["zilina-a", "zilina-b", "martin-c"];
--- a/review/standin-2/cases/revoked_anonymous.rs
+++ b/review/standin-2/cases/revoked_anonymous.rs
@@ -24,8 +24,7 @@
     let other = r#"{"name":"wabo412","apiKeys":["key-2"],"priority":1}"#;
     let first = super::config(1, &format!("[{one},{other}]"));
     store.append("keyed.op", "config", first.as_bytes());
-    let server =
-        Server::start(&store, "i-1", ("booking", "zilina-a"), vec![b'x'; 800], record);
+    let server = Server::start(&store, "i-1", ("booking", "zilina-a"), vec![b'x'; 800], record);
     let door = store.open();
     let ip = Ipv4Addr::new(127, 0, 0, 12);
     let machine = Machine {
