Review case 9: a heartbeat that is carried out late undoes a drain

Claim: outside the seconds after a restore, any entry of a process replaces the known one, also one with a lower count of heartbeats. Run: review/9/run.sh five times, and once with TROUBLE=0.

--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -3,4 +3,4 @@
 # disruption out.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review-2/standin ] && [ -x target/release/marigoldwall-gateway ] || exit 2
-exec target/review-2/standin removed_server review/9/record.txt
+exec target/review-2/standin late_heartbeat review/9/record.txt
--- a/review/standin-2/cases.rs
+++ b/review/standin-2/cases.rs
@@ -1,7 +1,7 @@
 //! The cases.
 
+mod late_heartbeat;
 mod pausing_reader;
-mod removed_server;
 mod revoked_added;
 mod revoked_anonymous;
 
@@ -10,8 +10,8 @@
 
 pub fn run(name: &str, record: &Record) -> Verdict {
     match name {
+        "late_heartbeat" => late_heartbeat::run(record),
         "pausing_reader" => pausing_reader::run(record),
-        "removed_server" => removed_server::run(record),
         "revoked_anonymous" => revoked_anonymous::run(record),
         "revoked_added" => revoked_added::run(record),
         _ => Verdict::CannotRun,
--- a/review/standin-2/cases/removed_server.rs
+++ b/review/standin-2/cases/late_heartbeat.rs
@@ -1,4 +1,4 @@
-//! A server that is removed just after the way between a machine and the store has healed.
+//! A heartbeat of a server that the store carries out late, after the server has reported `draining`.
 
 use std::collections::BTreeMap;
 use std::net::Ipv4Addr;
@@ -14,24 +14,20 @@
 use crate::store::Store;
 use crate::{Verdict, has_trouble};
 
-/// Rounds of a cut, each with another server that is removed.
+/// Rounds, each with another server that drains.
 const ROUNDS: usize = 3;
 
-/// Time for which the way is cut.
-const CUT_FOR: Duration = Duration::from_millis(4_500);
+/// Time from the lost answer to the report of `draining`: `contactMs` and more, so that the store is stable.
+const DRAINS_AFTER: Duration = Duration::from_millis(3_100);
 
-/// Time from the healing to the removal.
-const REMOVED_AFTER: Duration = Duration::from_millis(100);
+/// Time from the lost answer until the store carries the heartbeat out.
+const CARRIED_OUT_AFTER: Duration = Duration::from_millis(4_950);
 
-/// `contactMs` and `drainMs` of the settings.
-const CONTACT: Duration = Duration::from_millis(3_000);
-const DRAIN: Duration = Duration::from_millis(2_000);
+/// `drainMs` of the settings, and a margin for the time that clients and servers take to note something.
+const DRAIN: Duration = Duration::from_millis(2_050);
 
-/// Margin for the time that clients and servers take to note something.
-const MARGIN: Duration = Duration::from_millis(50);
-
-/// Clients that send one booking after the other.
-const CLIENTS: usize = 4;
+/// Clients of each gateway that send one booking after the other.
+const CLIENTS: usize = 2;
 
 pub fn run(record: &Record) -> Verdict {
     let store = Store::new();
@@ -42,23 +38,27 @@
         Server::start(&store, &id, ("booking", "zilina-a"), vec![b'x'; 800], record)
     };
     let mut servers: Vec<Arc<Server>> = (0..3).map(&start).collect();
-    let door = store.open();
-    let ip = Ipv4Addr::new(127, 0, 0, 16);
-    let machine = Machine {
-        name: "edge-1".into(),
-        ip,
-        ports: Ports::find(&[ip]),
-        store: door.address,
-        zone: "zilina-a".into(),
-    };
-    let mut gateway = Gateway::start_ready(machine, record);
-    let front = gateway.machine.front();
+    let ips = [17, 18].map(|last| Ipv4Addr::new(127, 0, 0, last));
+    let ports = Ports::find(&ips);
+    let zones = ["zilina-a", "zilina-b"];
+    let mut gateways = [0, 1].map(|number| {
+        let machine = Machine {
+            name: format!("edge-{}-1", zones[number]),
+            ip: ips[number],
+            ports,
+            store: store.open().address,
+            zone: zones[number].into(),
+        };
+        Gateway::start_ready(machine, record)
+    });
     let sent: Arc<Mutex<BTreeMap<String, Instant>>> = Arc::default();
     let (is_over, answered) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicUsize::new(0)));
-    let clients: Vec<_> = (0..CLIENTS)
+    let fronts = gateways.each_ref().map(|it| it.machine.front());
+    let clients: Vec<_> = (0..CLIENTS * fronts.len())
         .map(|client| {
             let (sent, is_over) = (Arc::clone(&sent), Arc::clone(&is_over));
             let answered = Arc::clone(&answered);
+            let front = fronts[client % fronts.len()];
             thread::spawn(move || {
                 for number in 0.. {
                     if is_over.load(Ordering::SeqCst) {
@@ -83,35 +83,36 @@
             })
         })
         .collect();
-    thread::sleep(Duration::from_millis(4_000));
+    thread::sleep(Duration::from_millis(4_500));
     let mut broken = 0;
     for round in 0..ROUNDS {
+        record.note(&format!("round {round}"));
+        let server = servers.remove(0);
         if has_trouble() {
-            record.note(&format!("round {round}: the way to the store is cut"));
-            door.is_cut.store(true, Ordering::SeqCst);
+            server.hold_next_heartbeat();
+            while !server.has_held_heartbeat() {
+                thread::sleep(Duration::from_millis(5));
+            }
         }
-        thread::sleep(CUT_FOR);
-        door.is_cut.store(false, Ordering::SeqCst);
-        let healed = Instant::now();
-        record.note("the way to the store is open");
-        thread::sleep(REMOVED_AFTER);
-        let removed = servers.remove(0);
-        removed.leave(&store);
+        let lost = Instant::now();
+        thread::sleep(DRAINS_AFTER);
+        server.drain(&store);
         let acknowledged = Instant::now();
-        record.note(&format!("the store has acknowledged that {} is gone", removed.id));
-        thread::sleep(Duration::from_millis(5_500));
+        thread::sleep(CARRIED_OUT_AFTER.saturating_sub(lost.elapsed()));
+        server.carry_out_held_heartbeat(&store);
+        thread::sleep(Duration::from_millis(2_500));
         let sent = sent.lock().expect("the times");
-        let judged_from = (healed + CONTACT).max(acknowledged + DRAIN) + MARGIN;
-        let runs = removed.runs.lock().expect("the runs");
+        let runs = server.runs.lock().expect("the runs");
         let late: Vec<u128> = runs
             .iter()
             .filter_map(|run| sent.get(&run.attempt))
-            .filter(|at| **at > judged_from)
+            .filter(|at| **at > acknowledged + DRAIN)
             .map(|at| at.duration_since(acknowledged).as_millis())
             .collect();
-        let id = &removed.id;
+        let id = &server.id;
         record.note(&format!("{} bookings reached {id} too late: {late:?} ms after", late.len()));
         broken += usize::from(!late.is_empty());
+        server.leave(&store);
         servers.push(start(3 + round));
         thread::sleep(Duration::from_millis(1_500));
     }
@@ -119,7 +120,7 @@
     clients.into_iter().for_each(|it| drop(it.join()));
     let answered = answered.load(Ordering::SeqCst);
     record.note(&format!("{broken} of {ROUNDS} rounds broken, {answered} bookings answered"));
-    if gateway.has_ended() || answered < 200 {
+    if gateways.iter_mut().any(Gateway::has_ended) || answered < 200 {
         return Verdict::CannotRun;
     }
     if broken > 0 { Verdict::Broken } else { Verdict::Held }
--- a/review/standin-2/server.rs
+++ b/review/standin-2/server.rs
@@ -33,6 +33,14 @@
     seals: AtomicU64,
     /// Whether its entry was removed.
     is_removed: AtomicBool,
+    /// Whether it has reported `draining`.
+    is_draining: AtomicBool,
+    born: u64,
+    /// Number of its heartbeats.
+    sequence: AtomicU64,
+    /// Whether the store carries the next heartbeat out late, and the heartbeat that it holds.
+    holds_next: AtomicBool,
+    held: Mutex<Option<Vec<u8>>>,
     record: Record,
 }
 
@@ -55,16 +63,19 @@
             runs: Mutex::default(),
             seals: AtomicU64::new(0),
             is_removed: AtomicBool::new(false),
+            is_draining: AtomicBool::new(false),
+            born: crate::unix_ms(),
+            sequence: AtomicU64::new(0),
+            holds_next: AtomicBool::new(false),
+            held: Mutex::default(),
             record: record.clone(),
         });
+        server.beat(store);
         let (beating, its_store) = (Arc::clone(&server), Arc::clone(store));
-        let born = crate::unix_ms();
-        let (first, first_store) = (Arc::clone(&server), Arc::clone(store));
-        first.beat(&first_store, born, 1);
         thread::spawn(move || {
-            for sequence in 2.. {
+            loop {
                 thread::sleep(BEAT);
-                beating.beat(&its_store, born, sequence);
+                beating.beat(&its_store);
             }
         });
         let accepting = Arc::clone(&server);
@@ -78,18 +89,52 @@
     }
 
     /// Writes its entry. While the store is away, the entry is lost.
-    fn beat(&self, store: &Store, born: u64, sequence: u64) {
+    fn beat(&self, store: &Store) {
         if store.is_down.load(Ordering::SeqCst) || self.is_removed.load(Ordering::SeqCst) {
             return;
         }
-        let Self { id, address, service, zone, .. } = self;
+        let Self { id, address, service, zone, born, .. } = self;
+        let sequence = self.sequence.fetch_add(1, Ordering::SeqCst) + 1;
+        let state = if self.is_draining.load(Ordering::SeqCst) { "draining" } else { "ready" };
         let entry = format!(
             r#"{{"service":"{service}","address":"{address}","zone":"{zone}","version":"v1",
-"slots":17,"state":"ready","coldRemainingMs":0,"born":{born},"sequence":{sequence}}}"#
+"slots":17,"state":"{state}","coldRemainingMs":0,"born":{born},"sequence":{sequence}}}"#
         );
+        if self.holds_next.swap(false, Ordering::SeqCst) {
+            self.record
+                .note(&format!("{id} writes {state}, sequence {sequence}, and gets no answer"));
+            *self.held.lock().expect("the heartbeat") = Some(entry.into_bytes());
+            return;
+        }
         store.append("keyed.servers", id, entry.as_bytes());
     }
 
+    /// Has the store lose its answer to the next heartbeat, and carry that out later.
+    pub fn hold_next_heartbeat(&self) {
+        self.holds_next.store(true, Ordering::SeqCst);
+    }
+
+    /// Whether a heartbeat is held.
+    pub fn has_held_heartbeat(&self) -> bool {
+        self.held.lock().expect("the heartbeat").is_some()
+    }
+
+    /// Has the store carry out the heartbeat that it held.
+    pub fn carry_out_held_heartbeat(&self, store: &Store) {
+        let held = self.held.lock().expect("the heartbeat").take();
+        if let Some(entry) = held {
+            self.record.note(&format!("the store carries out the late heartbeat of {}", self.id));
+            store.append("keyed.servers", &self.id, &entry);
+        }
+    }
+
+    /// Reports `draining`; acknowledged when this returns.
+    pub fn drain(&self, store: &Store) {
+        self.is_draining.store(true, Ordering::SeqCst);
+        self.beat(store);
+        self.record.note(&format!("the store has acknowledged that {} drains", self.id));
+    }
+
     /// Leaves without reporting `draining`: its entry is removed, and it goes on serving for a while.
     pub fn leave(&self, store: &Store) {
         self.is_removed.store(true, Ordering::SeqCst);
