Review case 7: a version that is carried out late lets a revoked key in

Claim: a process that starts takes any version for current, also a lower one than the others have in force; these refuse all keys meanwhile.

--- a/review/standin-2/cases.rs
+++ b/review/standin-2/cases.rs
@@ -1,8 +1,8 @@
 //! The cases.
 
 mod late_heartbeat;
+mod late_version;
 mod pausing_reader;
-mod revoked_added;
 mod revoked_anonymous;
 
 use crate::Verdict;
@@ -13,7 +13,7 @@
         "late_heartbeat" => late_heartbeat::run(record),
         "pausing_reader" => pausing_reader::run(record),
         "revoked_anonymous" => revoked_anonymous::run(record),
-        "revoked_added" => revoked_added::run(record),
+        "late_version" => late_version::run(record),
         _ => Verdict::CannotRun,
     }
 }
