--- a/review/standin-2/cases/late_heartbeat.rs
+++ b/review/standin-2/cases/late_heartbeat.rs
@@ -57,7 +57,7 @@
     let clients: Vec<_> = (0..CLIENTS * fronts.len())
         .map(|client| {
             let (sent, is_over) = (Arc::clone(&sent), Arc::clone(&is_over));
-            let answered = Arc::clone(&answered);
+            let (answered, record) = (Arc::clone(&answered), record.clone());
             let front = fronts[client % fronts.len()];
             thread::spawn(move || {
                 for number in 0.. {
@@ -75,7 +75,12 @@
                     };
                     let Ok(mut connection) = Client::connect(front) else { continue };
                     sent.lock().expect("the times").insert(attempt.clone(), Instant::now());
+                    let start = Instant::now();
                     let answer = connection.call(&request);
+                    let text =
+                        answer.as_ref().map_or_else(|it| it.to_string(), |it| it.line.clone());
+                    let time = start.elapsed().as_millis();
+                    record.note(&format!("client sent {attempt} {time} ms ago, and gets {text}"));
                     let is_ok = answer.is_ok_and(|it| it.status() == 200);
                     answered.fetch_add(usize::from(is_ok), Ordering::SeqCst);
                     thread::sleep(Duration::from_millis(40));
--- a/review/standin-2/cases/pausing_reader.rs
+++ b/review/standin-2/cases/pausing_reader.rs
@@ -75,7 +75,10 @@
         body: "slot",
     };
     let first_attempt = format!("first-{number}");
+    record.note(&format!("client {number} sends {first_attempt}"));
     let first = client.call(&request(&first_attempt)).ok()?;
+    let (line, size) = (&first.line, first.body.len());
+    record.note(&format!("client {number}, {first_attempt}: {line}, {size} bytes"));
     if first.status() != 200 || first.body.len() != ANSWER_BYTES {
         return None;
     }
